--- a/src/main/java/pumicegap/adapter/Wire.java
+++ b/src/main/java/pumicegap/adapter/Wire.java
@@ -9,7 +9,6 @@
 import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import pumicegap.ReadWriteSplitter;
@@ -22,6 +21,9 @@
 import pumicegap.SplitterApi.Report;
 import pumicegap.SplitterApi.Request;
 import pumicegap.SplitterApi.Role;
+import pumicegap.config.ConfigException;
+import pumicegap.config.Env;
+import pumicegap.config.Json;
 
 /** Reads batches of events, hands each to its instance, and writes one reply a batch. */
 final class Wire {
@@ -111,11 +113,16 @@
         int who = (int) whole();
         long seed = whole();
         in.nextToken();
-        require(value() instanceof Map<?, ?> map && putNew(who, seed, map), "provision needs its env");
+        require(Json.value(in) instanceof Map<?, ?> map && putNew(who, seed, map), "provision needs its env");
     }
 
     private boolean putNew(int who, long seed, Map<?, ?> map) {
-        Env env = new Env(map);
+        Env env;
+        try {
+            env = new Env(map);
+        } catch (ConfigException e) {
+            throw new WireException(e.getMessage());
+        }
         SplitterApi.Actions actions = new Reply(reply, who);
         instances.put(who, new Instance(new ReadWriteSplitter(now, seed, env.settings, actions), env));
         return true;
@@ -279,34 +286,6 @@
         }
     }
 
-    private Object value() throws IOException {
-        JsonToken t = in.currentToken();
-        require(t != null, "the input ended inside a message");
-        switch (t) {
-            case START_OBJECT: {
-                Map<String, Object> map = new LinkedHashMap<>();
-                while (in.nextToken() == JsonToken.FIELD_NAME) {
-                    String key = in.currentName();
-                    in.nextToken();
-                    map.put(key, value());
-                }
-                return map;
-            }
-            case START_ARRAY: {
-                List<Object> list = new ArrayList<>();
-                while (in.nextToken() != JsonToken.END_ARRAY) {
-                    list.add(value());
-                }
-                return list;
-            }
-            case VALUE_STRING: return in.getText();
-            case VALUE_TRUE: return Boolean.TRUE;
-            case VALUE_FALSE: return Boolean.FALSE;
-            case VALUE_NULL: return null;
-            default: return in.getDoubleValue();
-        }
-    }
-
     private static void require(boolean holds, String otherwise) {
         if (!holds) {
             throw new WireException(otherwise);
--- a/src/main/java/pumicegap/adapter/WireException.java
+++ b/src/main/java/pumicegap/adapter/WireException.java
@@ -1,7 +1,7 @@
 package pumicegap.adapter;
 
 /** What came in does not follow the wire. */
-final class WireException extends RuntimeException {
+final class WireException extends IllegalArgumentException {
     private static final long serialVersionUID = 1L;
 
     WireException(String message) {
--- /dev/null
+++ b/src/main/java/pumicegap/backend/Backends.java
@@ -0,0 +1,107 @@
+package pumicegap.backend;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import pumicegap.proxy.Hosts;
+import pumicegap.proxy.Loop;
+import pumicegap.request.ConnectionEnd;
+import pumicegap.request.HostList;
+import pumicegap.request.Reply;
+import pumicegap.request.Statement;
+import pumicegap.stats.Counters;
+import pumicegap.wire.MessageFilter;
+
+/** The pools of all db hosts. */
+public final class Backends implements Hosts {
+    /** Of the limit on descriptors, what all pools together may hold. */
+    private static final int MOST = 450;
+    /** A host closes at its idle limit at the latest; a request that meets this is lost, so stay well clear. */
+    private static final double IDLE_MARGIN = 0.8;
+
+    final Loop loop;
+    final Protocol protocol;
+    final TCPNIOTransport transport;
+    final TCPNIOConnectorHandler connector;
+    final MessageFilter filter = new MessageFilter();
+    final long connectTimeout;
+    final long idleLimit;
+    private final Counters counters;
+    private final Map<String, HostPool> pools = new HashMap<>();
+    private int open;
+
+    public Backends(Loop loop, Protocol protocol, TCPNIOTransport transport, long connectTimeout, long idle,
+            Counters counters) {
+        this.loop = loop;
+        this.protocol = protocol;
+        this.transport = transport;
+        this.connectTimeout = connectTimeout;
+        this.counters = counters;
+        idleLimit = (long) (idle * IDLE_MARGIN);
+        connector = TCPNIOConnectorHandler.builder(transport)
+            .processor(FilterChainBuilder.stateless().add(new TransportFilter()).add(filter).build()).build();
+        loop.at(loop.now() + 1_000_000, this::sweep);
+    }
+
+    /** A connection left idle to its host's limit would be closed there, at a time that nobody here knows. */
+    private void sweep() {
+        for (HostPool pool : pools.values()) {
+            pool.closeIdle(loop.now() - idleLimit);
+        }
+        loop.at(loop.now() + 1_000_000, this::sweep);
+    }
+
+    @Override
+    public void listed(HostList list) {
+        Set<String> named = new HashSet<>();
+        for (HostList.Entry entry : list.entries()) {
+            named.add(entry.host());
+            pools.computeIfAbsent(entry.host(), name -> new HostPool(name, this)).listed(entry);
+        }
+        pools.forEach((name, pool) -> {
+            if (list.whole() && !named.contains(name)) {
+                pool.gone();
+            }
+        });
+    }
+
+    @Override
+    public Sent send(String host, Statement statement, long until, Consumer<Reply> end) {
+        return start(host, new Call(statement::encode, until, false, end));
+    }
+
+    @Override
+    public void probe(String host, Consumer<Reply> end) {
+        start(host, new Call(wait -> protocol.probe(), loop.now() + connectTimeout, true, end));
+    }
+
+    private Sent start(String host, Call call) {
+        HostPool pool = pools.get(host);
+        if (pool == null) {
+            call.timer = loop.at(call.until, () -> { });
+            call.end(Reply.of(ConnectionEnd.NEVER_SENT));
+        } else {
+            pool.send(call);
+        }
+        return call;
+    }
+
+    boolean mayOpen() {
+        if (open >= MOST) {
+            return false;
+        }
+        open++;
+        counters.hostsOpened++;
+        return true;
+    }
+
+    void closed() {
+        open--;
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicegap/backend/Call.java
@@ -0,0 +1,56 @@
+package pumicegap.backend;
+
+import java.util.concurrent.Future;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
+import pumicegap.proxy.Hosts;
+import pumicegap.request.ConnectionEnd;
+import pumicegap.request.Reply;
+
+/** One attempt or probe on its way: it waits for a connection, is written, and ends exactly once. */
+final class Call implements Hosts.Sent {
+    final LongFunction<byte[]> words;
+    final long until;
+    final boolean probe;
+    private final Consumer<Reply> listener;
+    HostConnection connection;
+    HostPool pool;
+    Future<?> timer;
+    private boolean ended;
+
+    /** {@code words} makes what is sent, from the milliseconds that are left until {@code until}. */
+    Call(LongFunction<byte[]> words, long until, boolean probe, Consumer<Reply> listener) {
+        this.words = words;
+        this.until = until;
+        this.probe = probe;
+        this.listener = listener;
+    }
+
+    boolean hasEnded() {
+        return ended;
+    }
+
+    void end(Reply reply) {
+        if (!ended) {
+            ended = true;
+            timer.cancel(false);
+            listener.accept(reply);
+        }
+    }
+
+    @Override
+    public void callOff() {
+        stop(connection == null ? ConnectionEnd.NEVER_SENT : ConnectionEnd.CALLED_OFF);
+    }
+
+    /** Ends it from this side, and with it the connection that it holds. */
+    void stop(ConnectionEnd why) {
+        if (!ended) {
+            pool.forget(this);
+            if (connection != null) {
+                connection.abandon();
+            }
+            end(Reply.of(why));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicegap/backend/HostPool.java
@@ -0,0 +1,119 @@
+package pumicegap.backend;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
+import pumicegap.request.ConnectionEnd;
+import pumicegap.request.HostList;
+import pumicegap.request.Reply;
+
+/** The connections to one db host and the calls that wait for one. */
+final class HostPool {
+    /** More than this to one host serves nobody: it works on far fewer at a time. */
+    private static final int MOST = 80;
+
+    final String name;
+    private final Backends backends;
+    private final ArrayDeque<HostConnection> idle = new ArrayDeque<>();
+    private final Set<HostConnection> all = new HashSet<>();
+    private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+    private InetSocketAddress address;
+    private int opening;
+    private boolean serving;
+
+    HostPool(String name, Backends backends) {
+        this.name = name;
+        this.backends = backends;
+    }
+
+    void listed(HostList.Entry entry) {
+        int colon = entry.endpoint().lastIndexOf(':');
+        InetSocketAddress now = new InetSocketAddress(entry.endpoint().substring(0, colon),
+            Integer.parseInt(entry.endpoint().substring(colon + 1)));
+        serving = entry.state() == HostList.State.SERVING;
+        if (!now.equals(address) || !serving) {
+            closeIdle(Long.MAX_VALUE);
+        }
+        address = now;
+    }
+
+    void gone() {
+        serving = false;
+        closeIdle(Long.MAX_VALUE);
+    }
+
+    /** Closes those that have had no call since {@code before}. */
+    void closeIdle(long before) {
+        while (!idle.isEmpty() && idle.peekLast().idleSince < before) {
+            HostConnection c = idle.pollLast();
+            c.close();
+            closed(c);
+        }
+    }
+
+    void send(Call call) {
+        long now = backends.loop.now();
+        call.pool = this;
+        long connectBy = Math.min(call.until, now + backends.connectTimeout);
+        call.timer = backends.loop.at(connectBy, () -> timeUp(call));
+        closeIdle(now - backends.idleLimit);
+        waiting.add(call);
+        serve(now);
+    }
+
+    /** Either no connection came up in time, or no answer did. */
+    private void timeUp(Call call) {
+        long now = backends.loop.now();
+        if (call.connection == null) {
+            call.stop(opening > 0 ? ConnectionEnd.CONNECT_TIMEOUT : ConnectionEnd.NEVER_SENT);
+        } else if (now < call.until) {
+            call.timer = backends.loop.at(call.until, () -> timeUp(call));
+        } else {
+            call.stop(ConnectionEnd.TIMED_OUT);
+        }
+    }
+
+    private void serve(long now) {
+        while (!waiting.isEmpty() && !idle.isEmpty()) {
+            idle.pollFirst().send(waiting.pollFirst(), now);
+        }
+        while (opening < waiting.size() && all.size() < MOST && backends.mayOpen()) {
+            opening++;
+            HostConnection c = new HostConnection(this, backends);
+            all.add(c);
+            c.open(address);
+        }
+    }
+
+    void opened(HostConnection c) {
+        opening--;
+        freed(c);
+    }
+
+    void freed(HostConnection c) {
+        idle.addFirst(c);
+        serve(backends.loop.now());
+    }
+
+    void openingFailed(HostConnection c, ConnectionEnd why) {
+        opening--;
+        closed(c);
+        Call first = waiting.pollFirst();
+        if (first != null) {
+            first.end(Reply.of(why));
+        }
+    }
+
+    void closed(HostConnection c) {
+        idle.remove(c);
+        if (all.remove(c)) {
+            backends.closed();
+            serve(backends.loop.now());
+        }
+    }
+
+    void forget(Call call) {
+        waiting.remove(call);
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicegap/backend/Protocol.java
@@ -0,0 +1,31 @@
+package pumicegap.backend;
+
+import pumicegap.request.Note;
+import pumicegap.request.Reply;
+import pumicegap.wire.Framer;
+
+/** What a pool needs to know of the protocol that its hosts speak. */
+public interface Protocol {
+    /** What a new connection says first; its reply must come before anything else is sent. */
+    byte[] greeting();
+
+    /** The question for a host's report. */
+    byte[] probe();
+
+    /** What a host says of itself in its answer to a probe. */
+    Note report(byte[] body);
+
+    /** What one connection needs to read its replies. */
+    Framer newFramer();
+
+    Parser newParser();
+
+    /** Reads one connection's replies; throws {@link pumicegap.wire.ProtocolException} on what is none. */
+    interface Parser {
+        /** Takes in a message; gives the reply that it completes, or null. */
+        Reply take(byte[] message);
+
+        /** The reply that stands when the connection ends here, or null where there is none. */
+        Reply atEnd();
+    }
+}
--- a/src/main/java/pumicegap/adapter/Env.java
+++ b/src/main/java/pumicegap/config/Env.java
@@ -1,4 +1,4 @@
-package pumicegap.adapter;
+package pumicegap.config;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -15,14 +15,18 @@
 import pumicegap.SplitterApi.Tenant;
 
 /** The start-up settings of one instance: from the wire's object to the module's records. */
-final class Env {
-    final Settings settings;
-    final Map<String, Integer> classes = new LinkedHashMap<>();
-    final Map<String, Integer> tenants = new LinkedHashMap<>();
-    final long positionZero;
-    final List<?> reportFields;
+public final class Env {
+    public final Settings settings;
+    public final Map<String, Integer> classes = new LinkedHashMap<>();
+    public final Map<String, Integer> tenants = new LinkedHashMap<>();
+    public final long positionZero;
+    public final List<?> reportFields;
+    /** After this long without use a host may close a connection, in microseconds. */
+    public final long connectionIdle;
+    /** A connection that is not up by then counts as never made, in microseconds. */
+    public final long connectTimeout;
 
-    Env(Map<?, ?> env) {
+    public Env(Map<?, ?> env) {
         Map<?, ?> info = map(env, "familyInfo");
         Map<?, ?> prices = map(env, "prices");
         List<RequestClass> kinds = new ArrayList<>();
@@ -40,6 +44,8 @@
         positionZero = micros(info, "positionZeroS", 0);
         Map<?, ?> report = map(env, "report");
         reportFields = list(report, "fields");
+        connectionIdle = micros(map(env, "limits"), "connIdleS", 15);
+        connectTimeout = micros(map(env, "limits"), "connectTimeoutS", 0.25);
         settings = new Settings((int) number(env, "balancers", 1), (int) number(env, "position", 0),
             string(env, "locality", ""), kinds, shares, number(env, "overShareWorth", 1),
             string(info, "sessionMarks", "").equals("remembered"), check(string(info, "serverChecks", "none")),
@@ -54,13 +60,13 @@
             case "idempotent" -> Repeat.SAFE;
             case "deduplicated" -> Repeat.KEYED;
             case "at_most_once" -> Repeat.UNSAFE;
-            default -> throw new WireException("unknown repeat " + c.get("repeat"));
+            default -> throw new ConfigException("unknown repeat " + c.get("repeat"));
         };
         RepeatScope scope = switch (string(c, "group", "all")) {
             case "all" -> RepeatScope.ALL;
             case "zone" -> RepeatScope.ZONE;
             case "cell" -> RepeatScope.GROUP;
-            default -> throw new WireException("unknown group " + c.get("group"));
+            default -> throw new ConfigException("unknown group " + c.get("group"));
         };
         List<?> needs = list(info, "consistency");
         Freshness freshness = switch (index < needs.size() ? String.valueOf(needs.get(index)) : "any") {
@@ -69,7 +75,7 @@
             case "session" -> Freshness.SESSION;
             case "bounded" -> Freshness.BOUNDED;
             case "any" -> Freshness.ANY;
-            default -> throw new WireException("unknown consistency " + needs.get(index));
+            default -> throw new ConfigException("unknown consistency " + needs.get(index));
         };
         List<?> bounds = list(info, "classBoundS");
         long bound = index < bounds.size() ? toMicros(((Number) bounds.get(index)).doubleValue()) : 0;
@@ -82,14 +88,14 @@
             case "none" -> ReadCheck.NONE;
             case "refuse" -> ReadCheck.REFUSE;
             case "wait" -> ReadCheck.WAIT;
-            default -> throw new WireException("unknown serverChecks " + word);
+            default -> throw new ConfigException("unknown serverChecks " + word);
         };
     }
 
     private static Guards guards(Map<?, ?> rules) {
         Object gone = rules.get("goneIsAdvice");
         if (gone != null && !(gone instanceof Boolean)) {
-            throw new WireException("goneIsAdvice must be true or false");
+            throw new ConfigException("goneIsAdvice must be true or false");
         }
         return new Guards(micros(rules, "drainGraceS", 0), number(rules, "coldFrom", 1),
             micros(rules, "warmAfterS", 0), number(rules, "fallMultiple", 1), micros(rules, "fallS", 1),
@@ -103,7 +109,7 @@
             micros(limits, "maxRetryAfterS", 0));
     }
 
-    static long toMicros(double seconds) {
+    public static long toMicros(double seconds) {
         return Math.round(seconds * 1e6);
     }
 
--- /dev/null
+++ b/src/main/java/pumicegap/config/Json.java
@@ -0,0 +1,56 @@
+package pumicegap.config;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Small JSON values as plain maps, lists, strings, numbers and truth values. */
+public final class Json {
+    private static final JsonFactory FACTORY = new JsonFactory();
+
+    private Json() { }
+
+    /** The one value that the text holds. */
+    public static Object read(byte[] text) throws IOException {
+        try (JsonParser in = FACTORY.createParser(text)) {
+            in.nextToken();
+            return value(in);
+        }
+    }
+
+    /** The value at the parser's current token; the parser stands at its last token afterwards. */
+    public static Object value(JsonParser in) throws IOException {
+        JsonToken t = in.currentToken();
+        if (t == null) {
+            throw new IOException("the input ended inside a message");
+        }
+        switch (t) {
+            case START_OBJECT: {
+                Map<String, Object> map = new LinkedHashMap<>();
+                while (in.nextToken() == JsonToken.FIELD_NAME) {
+                    String key = in.currentName();
+                    in.nextToken();
+                    map.put(key, value(in));
+                }
+                return map;
+            }
+            case START_ARRAY: {
+                List<Object> list = new ArrayList<>();
+                while (in.nextToken() != JsonToken.END_ARRAY) {
+                    list.add(value(in));
+                }
+                return list;
+            }
+            case VALUE_STRING: return in.getText();
+            case VALUE_TRUE: return Boolean.TRUE;
+            case VALUE_FALSE: return Boolean.FALSE;
+            case VALUE_NULL: return null;
+            default: return in.getDoubleValue();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicegap/discovery/ListReader.java
@@ -0,0 +1,53 @@
+package pumicegap.discovery;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import pumicegap.request.HostList;
+
+/** Discovery's form of the list, from JSON that was read. */
+public final class ListReader {
+    private ListReader() { }
+
+    /** The list; throws {@link IllegalArgumentException} where the value is none. */
+    public static HostList read(Object json) {
+        if (!(json instanceof Map<?, ?> map) || !(map.get("targets") instanceof List<?> targets)
+                || !(map.get("rev") instanceof Number revision)) {
+            throw new IllegalArgumentException("a list of hosts needs rev and targets");
+        }
+        List<HostList.Entry> entries = new ArrayList<>();
+        for (Object each : targets) {
+            if (!(each instanceof Map<?, ?> t)) {
+                throw new IllegalArgumentException("a target must be an object");
+            }
+            entries.add(entry(t));
+        }
+        return new HostList(revision.longValue(), Boolean.TRUE.equals(map.get("all")), entries);
+    }
+
+    private static HostList.Entry entry(Map<?, ?> t) {
+        String endpoint = text(t, "endpoint");
+        if (!endpoint.matches("[^:]+:\\d{1,5}")) {
+            throw new IllegalArgumentException("no endpoint: " + endpoint);
+        }
+        HostList.State state;
+        try {
+            state = HostList.State.valueOf(text(t, "state"));
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("unknown state of a host: " + t.get("state"));
+        }
+        return new HostList.Entry(text(t, "uid"), endpoint, text(t, "az"), (int) number(t, "pod_group", 0), state,
+            "source".equals(t.get("rank")), number(t, "capacity_hint", 1), Math.round(number(t, "boot_ms", 0) * 1000));
+    }
+
+    private static String text(Map<?, ?> t, String key) {
+        if (t.get(key) instanceof String s) {
+            return s;
+        }
+        throw new IllegalArgumentException("a host needs its " + key);
+    }
+
+    private static double number(Map<?, ?> t, String key, double otherwise) {
+        return t.get(key) instanceof Number n ? n.doubleValue() : otherwise;
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicegap/discovery/Watch.java
@@ -0,0 +1,161 @@
+package pumicegap.discovery;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
+import java.util.function.Consumer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Method;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import pumicegap.config.Json;
+import pumicegap.proxy.Loop;
+import pumicegap.request.HostList;
+
+/**
+ * Keeps a watch on discovery: the whole list first, then one call for changes after the other. The next call
+ * must follow within 200 ms of an answer, or changes in between are lost; it follows at once.
+ */
+public final class Watch {
+    private static final long WAIT_MILLIS = 20_000;
+    private static final long RETRY = 100_000;
+    private static final long RETRY_MOST = 1_000_000;
+
+    private final Loop loop;
+    private final InetSocketAddress address;
+    private final Consumer<HostList> told;
+    private final TCPNIOConnectorHandler connector;
+    private Connection<?> connection;
+    private Future<?> silence;
+    private long revision = -1;
+    private int failures;
+    private int calls;
+
+    public Watch(Loop loop, TCPNIOTransport transport, InetSocketAddress address, Consumer<HostList> told) {
+        this.loop = loop;
+        this.address = address;
+        this.told = told;
+        connector = TCPNIOConnectorHandler.builder(transport).processor(FilterChainBuilder.stateless()
+            .add(new TransportFilter()).add(new HttpClientFilter()).add(new Answers()).build()).build();
+    }
+
+    /** Begins to watch; on the loop. */
+    public void start() {
+        int call = ++calls;
+        connector.connect(address, new EmptyCompletionHandler<Connection>() {
+            @Override
+            public void completed(Connection made) {
+                loop.execute(() -> {
+                    if (call == calls) {
+                        connection = made;
+                        ask();
+                    } else {
+                        made.closeSilently();
+                    }
+                });
+            }
+
+            @Override
+            public void failed(Throwable why) {
+                loop.execute(() -> lost(call));
+            }
+        });
+        giveUpAfter(2_000_000);
+    }
+
+    private void ask() {
+        String path = "/registry/instances";
+        HttpRequestPacket.Builder request = HttpRequestPacket.builder().method(Method.GET).uri(path)
+            .protocol(Protocol.HTTP_1_1).header("Host", address.getHostString() + ":" + address.getPort());
+        if (revision >= 0) {
+            request.query("index=" + revision + "&wait=" + WAIT_MILLIS);
+        }
+        connection.write(request.build());
+        giveUpAfter(revision < 0 ? 2_000_000 : WAIT_MILLIS * 1000 + 2_000_000);
+    }
+
+    /** An agent that was cut off stays silent on a connection that stays open. */
+    private void giveUpAfter(long micros) {
+        if (silence != null) {
+            silence.cancel(false);
+        }
+        int call = calls;
+        silence = loop.at(loop.now() + micros, () -> lost(call));
+    }
+
+    private void lost(int call) {
+        if (call != calls) {
+            return;
+        }
+        calls++;
+        if (connection != null) {
+            connection.closeSilently();
+            connection = null;
+        }
+        silence.cancel(false);
+        loop.at(loop.now() + Math.min(RETRY_MOST, RETRY << Math.min(failures++, 4)), this::start);
+    }
+
+    private void answered(Connection<?> by, int status, byte[] body) {
+        if (by != connection) {
+            return;
+        }
+        HostList list = null;
+        try {
+            if (status != 200) {
+                throw new IOException("status " + status);
+            }
+            list = ListReader.read(Json.read(body));
+        } catch (IOException | IllegalArgumentException e) {
+            // A list that cannot be read changes nothing: the last one stands, and the whole is asked for.
+            System.err.println("discovery: " + String.valueOf(e.getMessage()).split("\n")[0]);
+            revision = -1;
+            lost(calls);
+            return;
+        }
+        failures = 0;
+        revision = list.revision();
+        ask();
+        told.accept(list);
+    }
+
+    /** Hands whole answers and ends of connections to the loop. */
+    private final class Answers extends BaseFilter {
+        @Override
+        public NextAction handleRead(FilterChainContext ctx) {
+            HttpContent content = ctx.getMessage();
+            if (!content.isLast()) {
+                return ctx.getStopAction(content);
+            }
+            byte[] body = new byte[content.getContent().remaining()];
+            content.getContent().get(body);
+            int status = ((HttpResponsePacket) content.getHttpHeader()).getStatus();
+            Connection<?> by = ctx.getConnection();
+            content.recycle();
+            loop.execute(() -> answered(by, status, body));
+            return ctx.getStopAction();
+        }
+
+        @Override
+        public NextAction handleClose(FilterChainContext ctx) {
+            Connection<?> closed = ctx.getConnection();
+            loop.execute(() -> {
+                if (closed == connection) {
+                    lost(calls);
+                }
+            });
+            return ctx.getStopAction();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicegap/proxy/Dispatcher.java
@@ -0,0 +1,211 @@
+package pumicegap.proxy;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Future;
+import java.util.function.Consumer;
+import pumicegap.request.Answer;
+import pumicegap.request.ConnectionEnd;
+import pumicegap.request.Exchange;
+import pumicegap.request.HostList;
+import pumicegap.request.ProxyRequest;
+import pumicegap.request.Reply;
+import pumicegap.routing.Directive;
+import pumicegap.routing.News;
+import pumicegap.routing.RequestRouter;
+import pumicegap.stats.Counters;
+
+/**
+ * Carries requests from the fronts to the router's decisions, those to the hosts, and the answers back.
+ * It knows no wire. Everything here runs on the loop.
+ */
+public final class Dispatcher {
+    /** Past its deadline by this much a request that is still held is failed, whatever the reason. */
+    private static final long OVERDUE = 10_000;
+
+    private final Loop loop;
+    private final RequestRouter router;
+    private final Hosts hosts;
+    private final Counters counters;
+    private final Map<Long, Taken> taken = new HashMap<>();
+    private final ArrayDeque<Directive> work = new ArrayDeque<>();
+    private boolean working;
+    private long numbers;
+    private Future<?> alarm;
+    private long alarmAt = Long.MAX_VALUE;
+
+    /** An exchange, its attempts by number, and the guard of its deadline. */
+    private static final class Taken {
+        final Exchange exchange;
+        final Map<Integer, Hosts.Sent> out = new HashMap<>();
+        Future<?> guard;
+
+        Taken(Exchange exchange) {
+            this.exchange = exchange;
+        }
+    }
+
+    public Dispatcher(Loop loop, RequestRouter router, Hosts hosts, Counters counters) {
+        this.loop = loop;
+        this.router = router;
+        this.hosts = hosts;
+        this.counters = counters;
+    }
+
+    /** Whether requests of this class can be taken at all. */
+    public boolean knowsClass(String requestClass) {
+        return router.knowsClass(requestClass);
+    }
+
+    /** Takes a request in; {@code client} gets its one final answer unless the exchange is abandoned. */
+    public Exchange submit(ProxyRequest request, Consumer<Answer> client) {
+        long now = loop.now();
+        Taken t = new Taken(new Exchange(++numbers, request, now, client));
+        taken.put(numbers, t);
+        counters.taken++;
+        t.guard = loop.at(t.exchange.deadline() + OVERDUE, () -> overdue(t));
+        carryOut(router.pick(now, numbers, request));
+        return t.exchange;
+    }
+
+    /** The client of an exchange has left. */
+    public void clientGone(Exchange exchange) {
+        if (!exchange.isOver()) {
+            counters.abandoned++;
+            exchange.abandon();
+            over(taken.get(exchange.number()));
+            carryOut(router.report(loop.now(), new News.ClientGone(exchange.number())));
+        }
+    }
+
+    public void listed(HostList list, boolean old) {
+        hosts.listed(list);
+        carryOut(router.report(loop.now(), new News.Listed(list, old)));
+    }
+
+    /** How many requests are held. */
+    public int held() {
+        int held = 0;
+        for (Taken t : taken.values()) {
+            held += t.exchange.isOver() ? 0 : 1;
+        }
+        return held;
+    }
+
+    private void tick() {
+        alarmAt = Long.MAX_VALUE;
+        carryOut(router.tick(loop.now()));
+    }
+
+    private void overdue(Taken t) {
+        if (!t.exchange.isOver()) {
+            counters.overdue++;
+            answer(t, new Answer.Failed("deadline passed"));
+            carryOut(router.report(loop.now(), new News.ClientGone(t.exchange.number())));
+        }
+    }
+
+    /** What one directive brings about is carried out after it, in order, not inside it. */
+    private void carryOut(List<Directive> directives) {
+        work.addAll(directives);
+        if (working) {
+            return;
+        }
+        working = true;
+        try {
+            for (Directive d = work.poll(); d != null; d = work.poll()) {
+                carryOut(d);
+            }
+        } finally {
+            working = false;
+        }
+        long next = router.nextTick();
+        if (next < alarmAt) {
+            if (alarm != null) {
+                alarm.cancel(false);
+            }
+            alarmAt = next;
+            alarm = loop.at(next, this::tick);
+        }
+    }
+
+    private void carryOut(Directive directive) {
+        if (directive instanceof Directive.Send d) {
+            send(d);
+        } else if (directive instanceof Directive.CallOff d) {
+            Taken t = taken.get(d.request());
+            Hosts.Sent sent = t == null ? null : t.out.get(d.attempt());
+            if (sent != null) {
+                sent.callOff();
+            }
+        } else if (directive instanceof Directive.Refuse d) {
+            Taken t = taken.get(d.request());
+            if (t != null) {
+                answer(t, new Answer.Refused((d.comeBack() + 999) / 1000));
+            }
+        } else if (directive instanceof Directive.Fail d) {
+            Taken t = taken.get(d.request());
+            if (t != null) {
+                answer(t, new Answer.Failed("no host could serve it"));
+            }
+        } else if (directive instanceof Directive.Probe d) {
+            long sentAt = loop.now();
+            counters.probes++;
+            hosts.probe(d.host(), reply -> carryOut(router.report(loop.now(),
+                new News.ProbeEnd(d.host(), reply.end(), loop.now() - sentAt, reply.note()))));
+        } else if (directive instanceof Directive.Log d) {
+            System.out.println("router: " + d.text());
+        }
+    }
+
+    private void send(Directive.Send d) {
+        Taken t = taken.get(d.request());
+        long sentAt = loop.now();
+        if (t == null || t.exchange.isOver() || sentAt >= t.exchange.deadline()) {
+            carryOut(router.report(sentAt, new News.AttemptEnd(d.request(), d.attempt(), d.host(),
+                ConnectionEnd.NEVER_SENT, 0, t == null || t.exchange.isOver(), Reply.of(null).note())));
+            return;
+        }
+        long until = d.until() == 0 ? t.exchange.deadline() : Math.min(d.until(), t.exchange.deadline());
+        counters.sent++;
+        boolean[] ended = new boolean[1];
+        Hosts.Sent sent = hosts.send(d.host(), t.exchange.request().statement(), until, reply -> {
+            ended[0] = true;
+            attemptEnded(t, d, sentAt, reply);
+        });
+        if (!ended[0]) {
+            t.out.put(d.attempt(), sent);
+        }
+    }
+
+    private void attemptEnded(Taken t, Directive.Send d, long sentAt, Reply reply) {
+        t.out.remove(d.attempt());
+        counters.ended(reply.end());
+        if (reply.end() == ConnectionEnd.SERVED) {
+            answer(t, new Answer.Served(reply.body()));
+        }
+        long now = loop.now();
+        boolean over = t.exchange.isOver();
+        if (over) {
+            over(t);
+        }
+        carryOut(router.report(now, new News.AttemptEnd(d.request(), d.attempt(), d.host(), reply.end(),
+            now - sentAt, over, reply.note())));
+    }
+
+    private void answer(Taken t, Answer answer) {
+        if (t.exchange.answer(answer)) {
+            counters.answered(answer);
+        }
+        over(t);
+    }
+
+    private void over(Taken t) {
+        t.guard.cancel(false);
+        if (t.out.isEmpty()) {
+            taken.remove(t.exchange.number());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicegap/proxy/Hosts.java
@@ -0,0 +1,24 @@
+package pumicegap.proxy;
+
+import java.util.function.Consumer;
+import pumicegap.request.HostList;
+import pumicegap.request.Reply;
+import pumicegap.request.Statement;
+
+/** The db hosts as the dispatcher sees them; every call and every ending happens on the loop. */
+public interface Hosts {
+    /** Something that was sent and may be called off. */
+    interface Sent {
+        /** Stops waiting; it ends as called off, or as never sent. */
+        void callOff();
+    }
+
+    /** Sends the statement to a host and stops waiting at {@code until}; {@code end} gets exactly one ending. */
+    Sent send(String host, Statement statement, long until, Consumer<Reply> end);
+
+    /** Asks a host for its report; {@code end} gets exactly one ending. */
+    void probe(String host, Consumer<Reply> end);
+
+    /** Which hosts there are, or what changed of them. */
+    void listed(HostList list);
+}
--- /dev/null
+++ b/src/main/java/pumicegap/request/Exchange.java
@@ -0,0 +1,56 @@
+package pumicegap.request;
+
+import java.util.function.Consumer;
+
+/** A request that was taken in, and the guarantee that its client gets one final answer, not two. */
+public final class Exchange {
+    private final ProxyRequest request;
+    private final Consumer<Answer> client;
+    private final long arrived;
+    private final long number;
+    private boolean over;
+
+    public Exchange(long number, ProxyRequest request, long arrived, Consumer<Answer> client) {
+        this.number = number;
+        this.request = request;
+        this.arrived = arrived;
+        this.client = client;
+    }
+
+    /** This proxy's own number for it, never reused. */
+    public long number() {
+        return number;
+    }
+
+    public ProxyRequest request() {
+        return request;
+    }
+
+    public long arrived() {
+        return arrived;
+    }
+
+    /** When the client gives up, on the proxy's clock. */
+    public long deadline() {
+        return arrived + request.patienceMicros();
+    }
+
+    public boolean isOver() {
+        return over;
+    }
+
+    /** Gives the final answer; false, and nothing done, where there was one or the client has left. */
+    public boolean answer(Answer answer) {
+        if (over) {
+            return false;
+        }
+        over = true;
+        client.accept(answer);
+        return true;
+    }
+
+    /** The client has left: nobody is owed an answer any more. */
+    public void abandon() {
+        over = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicegap/request/HostRole.java
@@ -0,0 +1,4 @@
+package pumicegap.request;
+
+/** What an answer tells of its host's role. */
+public enum HostRole { UNTOLD, PRIMARY, REPLICA }
--- /dev/null
+++ b/src/main/java/pumicegap/request/ProxyRequest.java
@@ -0,0 +1,16 @@
+package pumicegap.request;
+
+/**
+ * One request as any front takes it in.
+ *
+ * @param id the client's own id, for people to find it by
+ * @param requestClass the class, named as in the settings
+ * @param cluster the group of hosts that hold its data
+ * @param session the session, or null where its class has none
+ * @param clientRetry whether the client says that it tries again
+ * @param patienceMicros how long the client waits from the arrival on
+ * @param afterMicros the position that a session's read must see, or {@link Note#UNKNOWN}
+ * @param statement what to pass on
+ */
+public record ProxyRequest(String id, String requestClass, int cluster, String session, boolean clientRetry,
+        long patienceMicros, long afterMicros, Statement statement) { }
--- /dev/null
+++ b/src/main/java/pumicegap/routing/RequestRouter.java
@@ -0,0 +1,219 @@
+package pumicegap.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import pumicegap.ReadWriteSplitter;
+import pumicegap.SplitterApi;
+import pumicegap.SplitterApi.Ending;
+import pumicegap.SplitterApi.HostEntry;
+import pumicegap.SplitterApi.HostState;
+import pumicegap.SplitterApi.ListKind;
+import pumicegap.SplitterApi.Outcome;
+import pumicegap.SplitterApi.Report;
+import pumicegap.SplitterApi.Request;
+import pumicegap.SplitterApi.Role;
+import pumicegap.config.Env;
+import pumicegap.request.ConnectionEnd;
+import pumicegap.request.HostList;
+import pumicegap.request.HostRole;
+import pumicegap.request.Note;
+import pumicegap.request.ProxyRequest;
+
+/**
+ * The decision module in blocking style: each call takes what happened and returns what is to be done now.
+ * All calls come from one thread, with the time in Unix microseconds.
+ */
+public final class RequestRouter {
+    private record Alarm(long due, long order, String name) { }
+
+    /** What the module numbers its attempts by, and when it can be forgotten. */
+    private static final class Taken {
+        int sent;
+        int out;
+        boolean over;
+    }
+
+    private final Env env;
+    private final SplitterApi.Router module;
+    private final Map<Long, Taken> taken = new HashMap<>();
+    private final PriorityQueue<Alarm> alarms = new PriorityQueue<>(
+        (a, b) -> a.due != b.due ? Long.compare(a.due, b.due) : Long.compare(a.order, b.order));
+    private List<Directive> due = new ArrayList<>();
+    private long now;
+    private long alarmsSet;
+
+    public RequestRouter(long now, long seed, Env env) {
+        this.env = env;
+        this.now = now;
+        module = new ReadWriteSplitter(now, seed, env.settings, new Recorder());
+    }
+
+    /** Whether the settings know a class of this name. */
+    public boolean knowsClass(String requestClass) {
+        return env.classes.containsKey(requestClass);
+    }
+
+    /** Decides on a new request, whose number is used for it from here on. */
+    public List<Directive> pick(long at, long number, ProxyRequest r) {
+        now = at;
+        taken.put(number, new Taken());
+        long age = r.afterMicros() == Note.UNKNOWN ? SplitterApi.UNKNOWN : Math.max(0, at - r.afterMicros());
+        module.onRequest(at, new Request(number, env.classes.get(r.requestClass()), r.cluster(), r.session(), -1,
+            r.clientRetry(), r.patienceMicros(), age));
+        return takeDue();
+    }
+
+    /** Takes in what happened. */
+    public List<Directive> report(long at, News news) {
+        now = at;
+        if (news instanceof News.AttemptEnd e) {
+            Taken t = taken.get(e.request());
+            if (t == null) {
+                return List.of();
+            }
+            t.out--;
+            t.over |= e.over();
+            module.onOutcome(at, new Outcome(e.request(), e.attempt(), e.host(), ending(e.end()), e.latency(),
+                e.over(), role(e.note()), e.note().position()));
+            forget(e.request(), t);
+        } else if (news instanceof News.ProbeEnd e) {
+            Report report = e.note().role() == HostRole.UNTOLD ? null
+                : new Report(e.note().position(), role(e.note()));
+            module.onProbed(at, e.host(), ending(e.end()), e.latency(), report);
+        } else if (news instanceof News.ClientGone e) {
+            Taken t = taken.get(e.request());
+            if (t != null) {
+                t.over = true;
+                module.onHangUp(at, e.request());
+                forget(e.request(), t);
+            }
+        } else if (news instanceof News.Listed e) {
+            List<HostEntry> rows = new ArrayList<>();
+            for (HostList.Entry h : e.list().entries()) {
+                rows.add(new HostEntry(h.host(), h.primary(), h.zone(), h.cluster(), state(h.state()), h.size(),
+                    h.started()));
+            }
+            ListKind kind = e.old() ? ListKind.OLD_COPY : e.list().whole() ? ListKind.WHOLE : ListKind.CHANGES;
+            module.onList(at, kind, rows);
+        }
+        return takeDue();
+    }
+
+    /** Lets the time be {@code at}: what was to be looked at by then is. */
+    public List<Directive> tick(long at) {
+        now = at;
+        while (!alarms.isEmpty() && alarms.peek().due <= at) {
+            module.onTimer(at, alarms.poll().name);
+        }
+        return takeDue();
+    }
+
+    /** When {@link #tick} is next to be called; {@link Long#MAX_VALUE} where nothing is due. */
+    public long nextTick() {
+        return alarms.isEmpty() ? Long.MAX_VALUE : alarms.peek().due;
+    }
+
+    private void forget(long request, Taken t) {
+        if (t.over && t.out <= 0) {
+            taken.remove(request);
+        }
+    }
+
+    private List<Directive> takeDue() {
+        List<Directive> now = due;
+        due = new ArrayList<>();
+        return now;
+    }
+
+    /** The one place that says what each end of a connection means to the decisions. */
+    static Ending ending(ConnectionEnd end) {
+        return switch (end) {
+            case SERVED -> Ending.OK;
+            case MISS -> Ending.MISS;
+            case HOST_ERROR -> Ending.ERROR;
+            case TURNED_AWAY -> Ending.FULL;
+            case CONNECT_FAILED, CONNECT_TIMEOUT, BROKEN_BEFORE_WRITTEN -> Ending.NO_ROUTE;
+            case BROKEN_AFTER_WRITTEN, GARBLED -> Ending.RESET;
+            case TIMED_OUT -> Ending.TIMEOUT;
+            case CALLED_OFF -> Ending.CANCELLED;
+            case NEVER_SENT -> Ending.MOOT;
+        };
+    }
+
+    private static Role role(Note note) {
+        return switch (note.role()) {
+            case PRIMARY -> Role.PRIMARY;
+            case REPLICA -> Role.REPLICA;
+            case UNTOLD -> Role.UNTOLD;
+        };
+    }
+
+    private static HostState state(HostList.State state) {
+        return switch (state) {
+            case SERVING -> HostState.READY;
+            case DRAINING -> HostState.DRAINING;
+            case DELETED -> HostState.GONE;
+        };
+    }
+
+    /** Notes the module's actions until the call that caused them returns them. */
+    private final class Recorder implements SplitterApi.Actions {
+        @Override
+        public void send(long id, String host, long abandonAt) {
+            Taken t = taken.get(id);
+            due.add(new Directive.Send(id, t.sent++, host, abandonAt));
+            t.out++;
+        }
+
+        @Override
+        public void cancel(long id, int attempt) {
+            due.add(new Directive.CallOff(id, attempt));
+        }
+
+        @Override
+        public void refuse(long id, long comeBack) {
+            due.add(new Directive.Refuse(id, comeBack));
+            over(id);
+        }
+
+        @Override
+        public void fail(long id) {
+            due.add(new Directive.Fail(id));
+            over(id);
+        }
+
+        private void over(long id) {
+            Taken t = taken.get(id);
+            t.over = true;
+            forget(id, t);
+        }
+
+        @Override
+        public void probe(String host) {
+            due.add(new Directive.Probe(host));
+        }
+
+        @Override
+        public void timer(String name, long after) {
+            alarms.add(new Alarm(now + after, alarmsSet++, name));
+        }
+
+        @Override
+        public void subscribe() {
+            // The watch on discovery asks for changes from the start and by itself, whatever the settings say.
+        }
+
+        @Override
+        public void tellPeers(String text) {
+            // Proxies share nothing.
+        }
+
+        @Override
+        public void log(String text) {
+            due.add(new Directive.Log(text));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicegap/wire/ProtocolException.java
@@ -0,0 +1,10 @@
+package pumicegap.wire;
+
+/** Bytes that break a protocol. */
+public final class ProtocolException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    public ProtocolException(String message) {
+        super(message);
+    }
+}
