--- a/src/main/java/pumicegap/Main.java
+++ b/src/main/java/mintstair/Main.java
@@ -1,11 +1,11 @@
-package pumicegap;
+package mintstair;
 
 import java.io.IOException;
 import java.nio.file.Path;
-import pumicegap.adapter.Adapter;
-import pumicegap.config.ConfigException;
-import pumicegap.config.NodeConfig;
-import pumicegap.proxy.Proxy;
+import mintstair.adapter.Adapter;
+import mintstair.config.ConfigException;
+import mintstair.config.NodeConfig;
+import mintstair.proxy.Proxy;
 
 /** The program's commands; what is wrong with its input ends it with one line and status 2. */
 public final class Main {
@@ -22,10 +22,10 @@
                 }
                 new Proxy(NodeConfig.read(Path.of(file))).start();
             } else {
-                throw new ConfigException("usage: java -jar pumicegap.jar serve [FILE] | adapter");
+                throw new ConfigException("usage: java -jar mintstair.jar serve [FILE] | adapter");
             }
         } catch (ConfigException | IllegalArgumentException | IOException e) {
-            System.err.println("pumicegap: " + String.valueOf(e.getMessage()).split("\n")[0]);
+            System.err.println("mintstair: " + String.valueOf(e.getMessage()).split("\n")[0]);
             System.exit(2);
         }
     }
--- a/src/main/java/pumicegap/adapter/Adapter.java
+++ b/src/main/java/mintstair/adapter/Adapter.java
@@ -1,4 +1,4 @@
-package pumicegap.adapter;
+package mintstair.adapter;
 
 import java.io.IOException;
 
--- a/src/main/java/pumicegap/adapter/Reply.java
+++ b/src/main/java/mintstair/adapter/Reply.java
@@ -1,9 +1,9 @@
-package pumicegap.adapter;
+package mintstair.adapter;
 
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import pumicegap.SplitterApi;
+import mintstair.decision.SplitterApi;
 
 /** The actions of one instance, written to the reply shared by its batch. */
 final class Reply implements SplitterApi.Actions {
--- a/src/main/java/pumicegap/adapter/Wire.java
+++ b/src/main/java/mintstair/adapter/Wire.java
@@ -1,4 +1,4 @@
-package pumicegap.adapter;
+package mintstair.adapter;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -11,19 +11,19 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import pumicegap.ReadWriteSplitter;
-import pumicegap.SplitterApi;
-import pumicegap.SplitterApi.Ending;
-import pumicegap.SplitterApi.HostEntry;
-import pumicegap.SplitterApi.HostState;
-import pumicegap.SplitterApi.ListKind;
-import pumicegap.SplitterApi.Outcome;
-import pumicegap.SplitterApi.Report;
-import pumicegap.SplitterApi.Request;
-import pumicegap.SplitterApi.Role;
-import pumicegap.config.ConfigException;
-import pumicegap.config.Env;
-import pumicegap.config.Json;
+import mintstair.decision.ReadWriteSplitter;
+import mintstair.decision.SplitterApi;
+import mintstair.decision.SplitterApi.Ending;
+import mintstair.decision.SplitterApi.HostEntry;
+import mintstair.decision.SplitterApi.HostState;
+import mintstair.decision.SplitterApi.ListKind;
+import mintstair.decision.SplitterApi.Outcome;
+import mintstair.decision.SplitterApi.Report;
+import mintstair.decision.SplitterApi.Request;
+import mintstair.decision.SplitterApi.Role;
+import mintstair.config.ConfigException;
+import mintstair.config.Env;
+import mintstair.config.Json;
 
 /** Reads batches of events, hands each to its instance, and writes one reply a batch. */
 final class Wire {
--- a/src/main/java/pumicegap/adapter/WireException.java
+++ b/src/main/java/mintstair/adapter/WireException.java
@@ -1,4 +1,4 @@
-package pumicegap.adapter;
+package mintstair.adapter;
 
 /** What came in does not follow the wire. */
 final class WireException extends IllegalArgumentException {
--- a/src/main/java/pumicegap/backend/Backends.java
+++ b/src/main/java/mintstair/backend/Backends.java
@@ -1,4 +1,4 @@
-package pumicegap.backend;
+package mintstair.backend;
 
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,14 +9,14 @@
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import pumicegap.proxy.Hosts;
-import pumicegap.proxy.Loop;
-import pumicegap.request.ConnectionEnd;
-import pumicegap.request.HostList;
-import pumicegap.request.Reply;
-import pumicegap.request.Statement;
-import pumicegap.stats.Counters;
-import pumicegap.wire.MessageFilter;
+import mintstair.proxy.Hosts;
+import mintstair.proxy.Loop;
+import mintstair.request.ConnectionEnd;
+import mintstair.request.HostList;
+import mintstair.request.Reply;
+import mintstair.request.Statement;
+import mintstair.stats.Counters;
+import mintstair.wire.MessageFilter;
 
 /** The pools of all db hosts. */
 public final class Backends implements Hosts {
--- a/src/main/java/pumicegap/backend/Call.java
+++ b/src/main/java/mintstair/backend/Call.java
@@ -1,11 +1,11 @@
-package pumicegap.backend;
+package mintstair.backend;
 
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
-import pumicegap.proxy.Hosts;
-import pumicegap.request.ConnectionEnd;
-import pumicegap.request.Reply;
+import mintstair.proxy.Hosts;
+import mintstair.request.ConnectionEnd;
+import mintstair.request.Reply;
 
 /** One attempt or probe on its way: it waits for a connection, is written, and ends exactly once. */
 final class Call implements Hosts.Sent {
--- a/src/main/java/pumicegap/backend/HostConnection.java
+++ b/src/main/java/mintstair/backend/HostConnection.java
@@ -1,4 +1,4 @@
-package pumicegap.backend;
+package mintstair.backend;
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -8,11 +8,11 @@
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
-import pumicegap.request.ConnectionEnd;
-import pumicegap.request.Reply;
-import pumicegap.wire.Framer;
-import pumicegap.wire.MessageFilter;
-import pumicegap.wire.ProtocolException;
+import mintstair.request.ConnectionEnd;
+import mintstair.request.Reply;
+import mintstair.wire.Framer;
+import mintstair.wire.MessageFilter;
+import mintstair.wire.ProtocolException;
 
 /** One connection to a db host: it greets, then carries one call at a time. All but reading is on the loop. */
 final class HostConnection implements MessageFilter.Listener {
--- a/src/main/java/pumicegap/backend/HostPool.java
+++ b/src/main/java/mintstair/backend/HostPool.java
@@ -1,12 +1,12 @@
-package pumicegap.backend;
+package mintstair.backend;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Set;
-import pumicegap.request.ConnectionEnd;
-import pumicegap.request.HostList;
-import pumicegap.request.Reply;
+import mintstair.request.ConnectionEnd;
+import mintstair.request.HostList;
+import mintstair.request.Reply;
 
 /** The connections to one db host and the calls that wait for one. */
 final class HostPool {
--- a/src/main/java/pumicegap/backend/Protocol.java
+++ b/src/main/java/mintstair/backend/Protocol.java
@@ -1,8 +1,8 @@
-package pumicegap.backend;
+package mintstair.backend;
 
-import pumicegap.request.Note;
-import pumicegap.request.Reply;
-import pumicegap.wire.Framer;
+import mintstair.request.Note;
+import mintstair.request.Reply;
+import mintstair.wire.Framer;
 
 /** What a pool needs to know of the protocol that its hosts speak. */
 public interface Protocol {
@@ -20,7 +20,7 @@
 
     Parser newParser();
 
-    /** Reads one connection's replies; throws {@link pumicegap.wire.ProtocolException} on what is none. */
+    /** Reads one connection's replies; throws {@link mintstair.wire.ProtocolException} on what is none. */
     interface Parser {
         /** Takes in a message; gives the reply that it completes, or null. */
         Reply take(byte[] message);
--- a/src/main/java/pumicegap/backend/pg/PgProtocol.java
+++ b/src/main/java/mintstair/backend/pg/PgProtocol.java
@@ -1,16 +1,16 @@
-package pumicegap.backend.pg;
+package mintstair.backend.pg;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
-import pumicegap.backend.Protocol;
-import pumicegap.request.ConnectionEnd;
-import pumicegap.request.HostRole;
-import pumicegap.request.Note;
-import pumicegap.request.Reply;
-import pumicegap.wire.Framer;
-import pumicegap.wire.PgFramer;
-import pumicegap.wire.PgWriter;
-import pumicegap.wire.ProtocolException;
+import mintstair.backend.Protocol;
+import mintstair.request.ConnectionEnd;
+import mintstair.request.HostRole;
+import mintstair.request.Note;
+import mintstair.request.Reply;
+import mintstair.wire.Framer;
+import mintstair.wire.PgFramer;
+import mintstair.wire.PgWriter;
+import mintstair.wire.ProtocolException;
 
 /** Db hosts that speak PostgreSQL's protocol, version 3: simple queries, no password. */
 public final class PgProtocol implements Protocol {
--- a/src/main/java/pumicegap/config/ConfigException.java
+++ b/src/main/java/mintstair/config/ConfigException.java
@@ -1,4 +1,4 @@
-package pumicegap.config;
+package mintstair.config;
 
 /** A configuration that cannot be used; its message is one plain line. */
 public final class ConfigException extends RuntimeException {
--- a/src/main/java/pumicegap/config/Env.java
+++ b/src/main/java/mintstair/config/Env.java
@@ -1,18 +1,18 @@
-package pumicegap.config;
+package mintstair.config;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import pumicegap.SplitterApi.Freshness;
-import pumicegap.SplitterApi.Guards;
-import pumicegap.SplitterApi.Limits;
-import pumicegap.SplitterApi.ReadCheck;
-import pumicegap.SplitterApi.Repeat;
-import pumicegap.SplitterApi.RepeatScope;
-import pumicegap.SplitterApi.RequestClass;
-import pumicegap.SplitterApi.Settings;
-import pumicegap.SplitterApi.Tenant;
+import mintstair.decision.SplitterApi.Freshness;
+import mintstair.decision.SplitterApi.Guards;
+import mintstair.decision.SplitterApi.Limits;
+import mintstair.decision.SplitterApi.ReadCheck;
+import mintstair.decision.SplitterApi.Repeat;
+import mintstair.decision.SplitterApi.RepeatScope;
+import mintstair.decision.SplitterApi.RequestClass;
+import mintstair.decision.SplitterApi.Settings;
+import mintstair.decision.SplitterApi.Tenant;
 
 /** The start-up settings of one instance: from the wire's object to the module's records. */
 public final class Env {
--- a/src/main/java/pumicegap/config/Json.java
+++ b/src/main/java/mintstair/config/Json.java
@@ -1,4 +1,4 @@
-package pumicegap.config;
+package mintstair.config;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/pumicegap/config/NodeConfig.java
+++ b/src/main/java/mintstair/config/NodeConfig.java
@@ -1,12 +1,12 @@
-package pumicegap.config;
+package mintstair.config;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import pumicegap.discovery.ListReader;
-import pumicegap.request.HostList;
+import mintstair.discovery.ListReader;
+import mintstair.request.HostList;
 
 /** What one proxy is told at its start. */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
--- a/src/main/java/pumicegap/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -1,8 +1,8 @@
-package pumicegap;
+package mintstair.decision;
 
 import java.util.*;
-import pumicegap.RouterState.*;
-import pumicegap.SplitterApi.*;
+import mintstair.decision.RouterState.*;
+import mintstair.decision.SplitterApi.*;
 
 /**
  * All decisions of one router. Its types, events and actions are in SplitterApi.java, what it remembers in
--- a/src/main/java/pumicegap/RouterState.java
+++ b/src/main/java/mintstair/decision/RouterState.java
@@ -1,12 +1,12 @@
-package pumicegap;
+package mintstair.decision;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import pumicegap.SplitterApi.Freshness;
-import pumicegap.SplitterApi.Repeat;
-import pumicegap.SplitterApi.Request;
-import pumicegap.SplitterApi.RequestClass;
+import mintstair.decision.SplitterApi.Freshness;
+import mintstair.decision.SplitterApi.Repeat;
+import mintstair.decision.SplitterApi.Request;
+import mintstair.decision.SplitterApi.RequestClass;
 
 /** What a router remembers: plain facts, read and written by ReadWriteSplitter, which alone decides. */
 final class RouterState {
--- a/src/main/java/pumicegap/SplitterApi.java
+++ b/src/main/java/mintstair/decision/SplitterApi.java
@@ -1,4 +1,4 @@
-package pumicegap;
+package mintstair.decision;
 
 import java.util.List;
 
--- a/src/main/java/pumicegap/discovery/ListReader.java
+++ b/src/main/java/mintstair/discovery/ListReader.java
@@ -1,9 +1,9 @@
-package pumicegap.discovery;
+package mintstair.discovery;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import pumicegap.request.HostList;
+import mintstair.request.HostList;
 
 /** Discovery's form of the list, from JSON that was read. */
 public final class ListReader {
--- a/src/main/java/pumicegap/discovery/Watch.java
+++ b/src/main/java/mintstair/discovery/Watch.java
@@ -1,4 +1,4 @@
-package pumicegap.discovery;
+package mintstair.discovery;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -19,9 +19,9 @@
 import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import pumicegap.config.Json;
-import pumicegap.proxy.Loop;
-import pumicegap.request.HostList;
+import mintstair.config.Json;
+import mintstair.proxy.Loop;
+import mintstair.request.HostList;
 
 /**
  * Keeps a watch on discovery: the whole list first, then one call for changes after the other. The next call
--- a/src/main/java/pumicegap/front/pg/PgFront.java
+++ b/src/main/java/mintstair/front/pg/PgFront.java
@@ -1,4 +1,4 @@
-package pumicegap.front.pg;
+package mintstair.front.pg;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -12,10 +12,10 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import pumicegap.proxy.Dispatcher;
-import pumicegap.proxy.Loop;
-import pumicegap.stats.Counters;
-import pumicegap.wire.MessageFilter;
+import mintstair.proxy.Dispatcher;
+import mintstair.proxy.Loop;
+import mintstair.stats.Counters;
+import mintstair.wire.MessageFilter;
 
 /** Where clients that speak PostgreSQL's protocol connect. */
 public final class PgFront {
--- a/src/main/java/pumicegap/front/pg/PgSession.java
+++ b/src/main/java/mintstair/front/pg/PgSession.java
@@ -1,4 +1,4 @@
-package pumicegap.front.pg;
+package mintstair.front.pg;
 
 import java.nio.ByteBuffer;
 import java.util.Locale;
@@ -6,13 +6,13 @@
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.memory.Buffers;
-import pumicegap.request.Answer;
-import pumicegap.request.Exchange;
-import pumicegap.request.ProxyRequest;
-import pumicegap.wire.MessageFilter;
-import pumicegap.wire.PgFramer;
-import pumicegap.wire.PgWriter;
-import pumicegap.wire.ProtocolException;
+import mintstair.request.Answer;
+import mintstair.request.Exchange;
+import mintstair.request.ProxyRequest;
+import mintstair.wire.MessageFilter;
+import mintstair.wire.PgFramer;
+import mintstair.wire.PgWriter;
+import mintstair.wire.ProtocolException;
 
 /** One client connection: a command at a time, answered in order. All but reading is on the loop. */
 final class PgSession implements MessageFilter.Listener {
--- a/src/main/java/pumicegap/front/pg/PgStatement.java
+++ b/src/main/java/mintstair/front/pg/PgStatement.java
@@ -1,13 +1,13 @@
-package pumicegap.front.pg;
+package mintstair.front.pg;
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import pumicegap.request.Note;
-import pumicegap.request.ProxyRequest;
-import pumicegap.request.Statement;
-import pumicegap.wire.PgWriter;
-import pumicegap.wire.ProtocolException;
+import mintstair.request.Note;
+import mintstair.request.ProxyRequest;
+import mintstair.request.Statement;
+import mintstair.wire.PgWriter;
+import mintstair.wire.ProtocolException;
 
 /** One statement and the values in its comment; it is passed on as it came but for {@code d}. */
 final class PgStatement implements Statement {
--- a/src/main/java/pumicegap/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -1,4 +1,4 @@
-package pumicegap.proxy;
+package mintstair.proxy;
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -6,16 +6,16 @@
 import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
-import pumicegap.request.Answer;
-import pumicegap.request.ConnectionEnd;
-import pumicegap.request.Exchange;
-import pumicegap.request.HostList;
-import pumicegap.request.ProxyRequest;
-import pumicegap.request.Reply;
-import pumicegap.routing.Directive;
-import pumicegap.routing.News;
-import pumicegap.routing.RequestRouter;
-import pumicegap.stats.Counters;
+import mintstair.request.Answer;
+import mintstair.request.ConnectionEnd;
+import mintstair.request.Exchange;
+import mintstair.request.HostList;
+import mintstair.request.ProxyRequest;
+import mintstair.request.Reply;
+import mintstair.routing.Directive;
+import mintstair.routing.News;
+import mintstair.routing.RequestRouter;
+import mintstair.stats.Counters;
 
 /**
  * Carries requests from the fronts to the router's decisions, those to the hosts, and the answers back.
--- a/src/main/java/pumicegap/proxy/Hosts.java
+++ b/src/main/java/mintstair/proxy/Hosts.java
@@ -1,9 +1,9 @@
-package pumicegap.proxy;
+package mintstair.proxy;
 
 import java.util.function.Consumer;
-import pumicegap.request.HostList;
-import pumicegap.request.Reply;
-import pumicegap.request.Statement;
+import mintstair.request.HostList;
+import mintstair.request.Reply;
+import mintstair.request.Statement;
 
 /** The db hosts as the dispatcher sees them; every call and every ending happens on the loop. */
 public interface Hosts {
--- a/src/main/java/pumicegap/proxy/Loop.java
+++ b/src/main/java/mintstair/proxy/Loop.java
@@ -1,4 +1,4 @@
-package pumicegap.proxy;
+package mintstair.proxy;
 
 import java.time.Instant;
 import java.util.concurrent.Future;
--- a/src/main/java/pumicegap/proxy/Proxy.java
+++ b/src/main/java/mintstair/proxy/Proxy.java
@@ -1,4 +1,4 @@
-package pumicegap.proxy;
+package mintstair.proxy;
 
 import java.io.IOException;
 import java.util.HashSet;
@@ -8,14 +8,14 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
-import pumicegap.backend.Backends;
-import pumicegap.backend.pg.PgProtocol;
-import pumicegap.config.NodeConfig;
-import pumicegap.discovery.Watch;
-import pumicegap.front.pg.PgFront;
-import pumicegap.request.HostList;
-import pumicegap.routing.RequestRouter;
-import pumicegap.stats.Counters;
+import mintstair.backend.Backends;
+import mintstair.backend.pg.PgProtocol;
+import mintstair.config.NodeConfig;
+import mintstair.discovery.Watch;
+import mintstair.front.pg.PgFront;
+import mintstair.request.HostList;
+import mintstair.routing.RequestRouter;
+import mintstair.stats.Counters;
 
 /** One running proxy: what is made at the start, and how it ends. */
 public final class Proxy {
--- a/src/main/java/pumicegap/request/Answer.java
+++ b/src/main/java/mintstair/request/Answer.java
@@ -1,4 +1,4 @@
-package pumicegap.request;
+package mintstair.request;
 
 /** A final answer, before any front words it. */
 public sealed interface Answer {
--- a/src/main/java/pumicegap/request/ConnectionEnd.java
+++ b/src/main/java/mintstair/request/ConnectionEnd.java
@@ -1,4 +1,4 @@
-package pumicegap.request;
+package mintstair.request;
 
 /**
  * Every way in which what was sent on a connection can end. Network code names one of these and nothing
--- a/src/main/java/pumicegap/request/Exchange.java
+++ b/src/main/java/mintstair/request/Exchange.java
@@ -1,4 +1,4 @@
-package pumicegap.request;
+package mintstair.request;
 
 import java.util.function.Consumer;
 
--- a/src/main/java/pumicegap/request/HostRole.java
+++ b/src/main/java/mintstair/request/HostRole.java
@@ -1,4 +1,4 @@
-package pumicegap.request;
+package mintstair.request;
 
 /** What an answer tells of its host's role. */
 public enum HostRole { UNTOLD, PRIMARY, REPLICA }
--- a/src/main/java/pumicegap/request/Note.java
+++ b/src/main/java/mintstair/request/Note.java
@@ -1,4 +1,4 @@
-package pumicegap.request;
+package mintstair.request;
 
 /** What an answer tells of its host: its role, and its position in Unix microseconds or {@link #UNKNOWN}. */
 public record Note(HostRole role, long position) {
--- a/src/main/java/pumicegap/request/ProxyRequest.java
+++ b/src/main/java/mintstair/request/ProxyRequest.java
@@ -1,4 +1,4 @@
-package pumicegap.request;
+package mintstair.request;
 
 /**
  * One request as any front takes it in.
--- a/src/main/java/pumicegap/request/Statement.java
+++ b/src/main/java/mintstair/request/Statement.java
@@ -1,4 +1,4 @@
-package pumicegap.request;
+package mintstair.request;
 
 /** What a client asked for, in the words of its own protocol; only a backend of that protocol reads it. */
 public interface Statement {
--- a/src/main/java/pumicegap/routing/Directive.java
+++ b/src/main/java/mintstair/routing/Directive.java
@@ -1,4 +1,4 @@
-package pumicegap.routing;
+package mintstair.routing;
 
 /** What the network side is to do now. */
 public sealed interface Directive {
--- a/src/main/java/pumicegap/routing/News.java
+++ b/src/main/java/mintstair/routing/News.java
@@ -1,8 +1,8 @@
-package pumicegap.routing;
+package mintstair.routing;
 
-import pumicegap.request.ConnectionEnd;
-import pumicegap.request.HostList;
-import pumicegap.request.Note;
+import mintstair.request.ConnectionEnd;
+import mintstair.request.HostList;
+import mintstair.request.Note;
 
 /** What the network side has to report. */
 public sealed interface News {
--- a/src/main/java/pumicegap/routing/RequestRouter.java
+++ b/src/main/java/mintstair/routing/RequestRouter.java
@@ -1,26 +1,26 @@
-package pumicegap.routing;
+package mintstair.routing;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import pumicegap.ReadWriteSplitter;
-import pumicegap.SplitterApi;
-import pumicegap.SplitterApi.Ending;
-import pumicegap.SplitterApi.HostEntry;
-import pumicegap.SplitterApi.HostState;
-import pumicegap.SplitterApi.ListKind;
-import pumicegap.SplitterApi.Outcome;
-import pumicegap.SplitterApi.Report;
-import pumicegap.SplitterApi.Request;
-import pumicegap.SplitterApi.Role;
-import pumicegap.config.Env;
-import pumicegap.request.ConnectionEnd;
-import pumicegap.request.HostList;
-import pumicegap.request.HostRole;
-import pumicegap.request.Note;
-import pumicegap.request.ProxyRequest;
+import mintstair.decision.ReadWriteSplitter;
+import mintstair.decision.SplitterApi;
+import mintstair.decision.SplitterApi.Ending;
+import mintstair.decision.SplitterApi.HostEntry;
+import mintstair.decision.SplitterApi.HostState;
+import mintstair.decision.SplitterApi.ListKind;
+import mintstair.decision.SplitterApi.Outcome;
+import mintstair.decision.SplitterApi.Report;
+import mintstair.decision.SplitterApi.Request;
+import mintstair.decision.SplitterApi.Role;
+import mintstair.config.Env;
+import mintstair.request.ConnectionEnd;
+import mintstair.request.HostList;
+import mintstair.request.HostRole;
+import mintstair.request.Note;
+import mintstair.request.ProxyRequest;
 
 /**
  * The decision module in blocking style: each call takes what happened and returns what is to be done now.
--- a/src/main/java/pumicegap/stats/Counters.java
+++ b/src/main/java/mintstair/stats/Counters.java
@@ -1,7 +1,7 @@
-package pumicegap.stats;
+package mintstair.stats;
 
-import pumicegap.request.Answer;
-import pumicegap.request.ConnectionEnd;
+import mintstair.request.Answer;
+import mintstair.request.ConnectionEnd;
 
 /** What the proxy took in, sent and answered since its start; kept on the loop. */
 public final class Counters {
--- a/src/main/java/pumicegap/wire/MessageFilter.java
+++ b/src/main/java/mintstair/wire/MessageFilter.java
@@ -1,4 +1,4 @@
-package pumicegap.wire;
+package mintstair.wire;
 
 import java.nio.ByteBuffer;
 import java.util.function.Function;
--- a/src/main/java/pumicegap/wire/PgFramer.java
+++ b/src/main/java/mintstair/wire/PgFramer.java
@@ -1,4 +1,4 @@
-package pumicegap.wire;
+package mintstair.wire;
 
 /** PostgreSQL's messages, version 3: a type byte and a length, but for a start-up packet, which has no type. */
 public final class PgFramer extends Framer {
--- a/src/main/java/pumicegap/wire/PgWriter.java
+++ b/src/main/java/mintstair/wire/PgWriter.java
@@ -1,4 +1,4 @@
-package pumicegap.wire;
+package mintstair.wire;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/pumicegap/wire/ProtocolException.java
+++ b/src/main/java/mintstair/wire/ProtocolException.java
@@ -1,4 +1,4 @@
-package pumicegap.wire;
+package mintstair.wire;
 
 /** Bytes that break a protocol. */
 public final class ProtocolException extends RuntimeException {
--- a/src/test/java/pumicegap/adapter/WireTest.java
+++ b/src/test/java/mintstair/adapter/WireTest.java
@@ -1,4 +1,4 @@
-package pumicegap.adapter;
+package mintstair.adapter;
 
 import static org.junit.jupiter.api.Assertions.*;
 
--- a/src/test/java/pumicegap/Bed.java
+++ b/src/test/java/mintstair/decision/Bed.java
@@ -1,8 +1,8 @@
-package pumicegap;
+package mintstair.decision;
 
 import java.util.ArrayList;
 import java.util.List;
-import pumicegap.SplitterApi.*;
+import mintstair.decision.SplitterApi.*;
 
 /** A router under test: settings that a test may alter, a clock, and the actions it took. */
 final class Bed implements SplitterApi.Actions {
--- a/src/test/java/pumicegap/EmbeddingTest.java
+++ b/src/test/java/mintstair/decision/EmbeddingTest.java
@@ -1,11 +1,11 @@
-package pumicegap;
+package mintstair.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pumicegap.SplitterApi.*;
+import mintstair.decision.SplitterApi.*;
 
 /** The README's example of embedding the module in a router. */
 class EmbeddingTest {
--- a/src/test/java/pumicegap/FleetTest.java
+++ b/src/test/java/mintstair/decision/FleetTest.java
@@ -1,11 +1,11 @@
-package pumicegap;
+package mintstair.decision;
 
 import static org.junit.jupiter.api.Assertions.*;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pumicegap.SplitterApi.*;
+import mintstair.decision.SplitterApi.*;
 
 /** Many routers with a trickle of traffic each, and routers that are told what is not so. */
 class FleetTest {
--- a/src/test/java/pumicegap/RulesTest.java
+++ b/src/test/java/mintstair/decision/RulesTest.java
@@ -1,9 +1,9 @@
-package pumicegap;
+package mintstair.decision;
 
 import static org.junit.jupiter.api.Assertions.*;
 
 import org.junit.jupiter.api.Test;
-import pumicegap.SplitterApi.*;
+import mintstair.decision.SplitterApi.*;
 
 /** The five rules, each able to fail without the bench. */
 class RulesTest {
--- a/src/test/java/pumicegap/SplitterTest.java
+++ b/src/test/java/mintstair/decision/SplitterTest.java
@@ -1,4 +1,4 @@
-package pumicegap;
+package mintstair.decision;
 
 import static org.junit.jupiter.api.Assertions.*;
 
@@ -7,7 +7,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pumicegap.SplitterApi.*;
+import mintstair.decision.SplitterApi.*;
 
 /** The departures from the ordinary path, and the module's own limits. */
 class SplitterTest {
@@ -235,10 +235,10 @@
 
     @Test
     void moduleStaysShortEnoughToReadAloud() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/pumicegap/ReadWriteSplitter.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/mintstair/decision/ReadWriteSplitter.java"));
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 850);
-        for (Path file : List.of(Path.of("src/main/java/pumicegap/ReadWriteSplitter.java"),
-                Path.of("src/main/java/pumicegap/SplitterApi.java"))) {
+        for (Path file : List.of(Path.of("src/main/java/mintstair/decision/ReadWriteSplitter.java"),
+                Path.of("src/main/java/mintstair/decision/SplitterApi.java"))) {
             for (String line : Files.readAllLines(file)) {
                 assertTrue(line.length() <= 110, file + ": " + line);
             }
