Add the MongoDB front with its backend, cursors pinned to their hosts

Seen: clients written for MongoDB's protocol had no way in; the front shared its session code with nothing. Now: OP_MSG front and backend on the same dispatcher and module; front code common to both protocols moved to Front, ClientSession and RequestRules. A getMore is pinned: the module takes a pinned host with a request and answers at once where that host is not known to be recent enough; the cursor is freed there. Fault found: a token in the proxy's future was cut to its present; RequestRouter.pick keeps it now.

--- a/src/main/java/mintstair/backend/Backends.java
+++ b/src/main/java/mintstair/backend/Backends.java
@@ -20,8 +20,6 @@
 
 /** The pools of all db hosts. */
 public final class Backends implements Hosts {
-    /** Of the limit on descriptors, what all pools together may hold. */
-    private static final int MOST = 450;
     /** A host closes at its idle limit at the latest; a request that meets this is lost, so stay well clear. */
     private static final double IDLE_MARGIN = 0.8;
 
@@ -32,16 +30,18 @@
     final MessageFilter filter = new MessageFilter();
     final long connectTimeout;
     final long idleLimit;
+    private final int most;
     private final Counters counters;
     private final Map<String, HostPool> pools = new HashMap<>();
     private int open;
 
     public Backends(Loop loop, Protocol protocol, TCPNIOTransport transport, long connectTimeout, long idle,
-            Counters counters) {
+            int most, Counters counters) {
         this.loop = loop;
         this.protocol = protocol;
         this.transport = transport;
         this.connectTimeout = connectTimeout;
+        this.most = most;
         this.counters = counters;
         idleLimit = (long) (idle * IDLE_MARGIN);
         connector = TCPNIOConnectorHandler.builder(transport)
@@ -93,7 +93,7 @@
     }
 
     boolean mayOpen() {
-        if (open >= MOST) {
+        if (open >= most) {
             return false;
         }
         open++;
--- /dev/null
+++ b/src/main/java/mintstair/backend/mongo/MongoProtocol.java
@@ -0,0 +1,100 @@
+package mintstair.backend.mongo;
+
+import java.util.Set;
+import mintstair.backend.Protocol;
+import mintstair.request.ConnectionEnd;
+import mintstair.request.HostRole;
+import mintstair.request.Note;
+import mintstair.request.Reply;
+import mintstair.wire.Framer;
+import mintstair.wire.MongoFramer;
+import mintstair.wire.MongoMessage;
+import mintstair.wire.ProtocolException;
+import org.bson.BsonDocument;
+import org.bson.BsonInt32;
+import org.bson.BsonString;
+import org.bson.BsonValue;
+
+/**
+ * Db hosts that speak MongoDB's wire protocol. What PostgreSQL hosts tell by parameters is told here by the
+ * fields of hello, in any reply that holds them: isWritablePrimary, lastWrite.lastWriteDate and localTime;
+ * where they are missing, operationTime is a position to the second.
+ */
+public final class MongoProtocol implements Protocol {
+    /** Errors of a host that is no primary, or in no state to read: nothing ran. */
+    private static final Set<Integer> NOTHING_RAN = Set.of(10107, 13435, 13436);
+    /** Errors by which a host turns a command away unseen. */
+    private static final Set<Integer> UNSEEN = Set.of(462);
+    /** Errors of a host in trouble, after which the command may have run: HostUnreachable, HostNotFound,
+     * MaxTimeMSExpired, NetworkTimeout, ShutdownInProgress, PrimarySteppedDown, ExceededTimeLimit,
+     * SocketException, InterruptedAtShutdown, InterruptedDueToReplStateChange. */
+    private static final Set<Integer> MAY_HAVE_RUN = Set.of(6, 7, 50, 89, 91, 189, 262, 9001, 11600, 11602);
+
+    @Override
+    public byte[] greeting() {
+        return probe();
+    }
+
+    @Override
+    public byte[] probe() {
+        return MongoMessage.opMsg(new BsonDocument("hello", new BsonInt32(1)).append("$db", new BsonString("admin")),
+            0);
+    }
+
+    @Override
+    public Framer newFramer() {
+        return new MongoFramer();
+    }
+
+    @Override
+    public Parser newParser() {
+        return new Parser() {
+            @Override
+            public Reply take(byte[] message) {
+                MongoMessage m = MongoMessage.parse(message);
+                if (m.opCode() != MongoMessage.OP_MSG || (m.flags() & MongoMessage.MORE_TO_COME) != 0) {
+                    throw new ProtocolException("not the one reply that was asked for");
+                }
+                return new Reply(end(m.body()), MongoMessage.bytes(m.body()), note(m.body()));
+            }
+
+            @Override
+            public Reply atEnd() {
+                return null;
+            }
+        };
+    }
+
+    @Override
+    public Note report(byte[] body) {
+        return note(MongoMessage.document(body));
+    }
+
+    /** An error that is the statement's own fault is the host's answer: no other host would give a better. */
+    private static ConnectionEnd end(BsonDocument body) {
+        if (body.isNumber("ok") && body.getNumber("ok").doubleValue() == 1) {
+            return ConnectionEnd.SERVED;
+        }
+        int code = body.isNumber("code") ? body.getNumber("code").intValue() : 0;
+        return NOTHING_RAN.contains(code) ? ConnectionEnd.MISS : UNSEEN.contains(code) ? ConnectionEnd.TURNED_AWAY
+            : code == 0 || MAY_HAVE_RUN.contains(code) ? ConnectionEnd.HOST_ERROR : ConnectionEnd.SERVED;
+    }
+
+    private static Note note(BsonDocument body) {
+        HostRole role = HostRole.UNTOLD;
+        if (body.isBoolean("isWritablePrimary")) {
+            boolean primary = body.getBoolean("isWritablePrimary").getValue();
+            role = primary ? HostRole.PRIMARY : HostRole.REPLICA;
+        }
+        BsonValue lastWrite = body.isDocument("lastWrite") ? body.getDocument("lastWrite").get("lastWriteDate") : null;
+        long position = Note.UNKNOWN;
+        if (role == HostRole.PRIMARY && body.isDateTime("localTime")) {
+            position = body.getDateTime("localTime").getValue() * 1000;
+        } else if (lastWrite != null && lastWrite.isDateTime()) {
+            position = lastWrite.asDateTime().getValue() * 1000;
+        } else if (body.isTimestamp("operationTime")) {
+            position = body.getTimestamp("operationTime").getTime() * 1_000_000L;
+        }
+        return new Note(role, position);
+    }
+}
--- a/src/main/java/mintstair/config/NodeConfig.java
+++ b/src/main/java/mintstair/config/NodeConfig.java
@@ -32,7 +32,7 @@
         }
     }
 
-    private static String text(Map<?, ?> map, String key) {
+    static String text(Map<?, ?> map, String key) {
         if (map.get(key) instanceof String s) {
             return s;
         }
--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -331,6 +331,7 @@
     /** The ordinary path: a random replica known to be recent enough, else the primary. */
     private Host choose(long now, Open q) {
         Group g = groupOf(q.request.group());
+        if (q.request.pinned() != null) return pinned(now, g, q);
         if (q.needsPrimary()) return mustConfirm(now, g) ? null : usablePrimary(now, g, q);
         // Where replicas check reads a miss is cheap, so those that may be recent enough count as well: with
         // proven ones alone, all reads crowd for a moment upon whichever replica was polled last.
@@ -351,6 +352,15 @@
         return h == null && checked ? pick(now, g, q, need, g.reportAge, false) : h;
     }
 
+    /** A pinned read's own host while that is known to be recent enough; it is polled to find out. */
+    private Host pinned(long now, Group g, Open q) {
+        Host h = hosts.get(q.request.pinned());
+        if (h == null || h.group != g || !h.ready || h.silent || q.attempts > 0) return null;
+        if (h == g.primary || !q.needsPrimary() && h.position >= need(now, q)) return h;
+        if (settings.limits().probing() && !h.pollOut && now - h.polledAt >= DEMAND_WAIT) ask(now, h);
+        return null;
+    }
+
     /** The position that an attempt sent now must find; a bounded read's moves with each send. */
     private long need(long now, Open q) {
         return q.kind.of.freshness() == Freshness.BOUNDED ? now - q.kind.of.bound() : q.token;
@@ -575,6 +585,7 @@
     /** No effect twice: what may have run goes out again only where its class says so. */
     private boolean mayRepeat(long now, Open q) {
         if (q.attempts >= settings.limits().maxAttempts() || now >= q.deadline - MARGIN) return false;
+        if (q.request.pinned() != null) return q.attempts == 0;
         if (!q.mayHaveRun || q.repeatable()) return true;
         return q.kind.of.repeat() == Repeat.KEYED && q.kind.of.scope() != RepeatScope.ZONE
             && now < q.firstMayHaveRun + q.kind.of.window() - MARGIN;
--- a/src/main/java/mintstair/decision/RouterState.java
+++ b/src/main/java/mintstair/decision/RouterState.java
@@ -121,7 +121,7 @@
         }
 
         boolean repeatable() {
-            return kind.of.repeat() == Repeat.SAFE;
+            return kind.of.repeat() == Repeat.SAFE && request.pinned() == null;
         }
     }
 }
--- a/src/main/java/mintstair/decision/SplitterApi.java
+++ b/src/main/java/mintstair/decision/SplitterApi.java
@@ -62,9 +62,17 @@
     public record HostEntry(String host, boolean primary, String zone, int group, HostState state,
             double size, long lastStart) { }
 
-    /** A request; {@code patience} is the time until its client gives up, {@code tenant} -1 where none. */
+    /**
+     * A request; {@code patience} is the time until its client gives up, {@code tenant} -1 where none.
+     * One that is {@code pinned} goes on with what its host holds: no other host can serve it, nor it twice.
+     */
     public record Request(long id, int classIndex, int group, String session, int tenant,
-            boolean clientRepeat, long patience, long tokenAge) { }
+            boolean clientRepeat, long patience, long tokenAge, String pinned) {
+        public Request(long id, int classIndex, int group, String session, int tenant,
+                boolean clientRepeat, long patience, long tokenAge) {
+            this(id, classIndex, group, session, tenant, clientRepeat, patience, tokenAge, null);
+        }
+    }
 
     /** A host's report on itself; {@code position} may be {@link #UNKNOWN}. */
     public record Report(long position, Role role) { }
--- /dev/null
+++ b/src/main/java/mintstair/front/Front.java
@@ -0,0 +1,101 @@
+package mintstair.front;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import mintstair.proxy.Dispatcher;
+import mintstair.proxy.Loop;
+import mintstair.stats.Counters;
+import mintstair.wire.MessageFilter;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/** Where the clients of one protocol connect: the listener, and the sessions that are open. */
+public abstract class Front {
+    protected final Loop loop;
+    protected final Dispatcher dispatcher;
+    protected final Counters counters;
+    final TCPNIOTransport transport;
+    private final int mostClients;
+    private final Set<ClientSession> sessions = new HashSet<>();
+    private List<Runnable> untilReady = new ArrayList<>();
+    private TCPNIOServerConnection listener;
+
+    protected Front(Loop loop, Dispatcher dispatcher, TCPNIOTransport transport, Counters counters,
+            int mostClients) {
+        this.loop = loop;
+        this.dispatcher = dispatcher;
+        this.transport = transport;
+        this.counters = counters;
+        this.mostClients = mostClients;
+    }
+
+    protected abstract ClientSession session(Connection<?> connection);
+
+    /** Listens on the address, or on any free port of it for port 0; returns the port. */
+    public int listen(InetSocketAddress address) throws IOException {
+        MessageFilter filter = new MessageFilter(connection -> {
+            ClientSession session = session(connection);
+            loop.execute(() -> accepted(session));
+            return session;
+        });
+        listener = TCPNIOBindingHandler.builder(transport)
+            .processor(FilterChainBuilder.stateless().add(new TransportFilter()).add(filter).build()).build()
+            .bind(address, 1024);
+        return ((InetSocketAddress) listener.getLocalAddress()).getPort();
+    }
+
+    private void accepted(ClientSession session) {
+        counters.clientsOpened++;
+        sessions.add(session);
+        // Descriptors are few: past this many clients the hosts' connections would find none left.
+        if (sessions.size() > mostClients) {
+            counters.clientsTurnedAway++;
+            session.close();
+        }
+    }
+
+    /** Runs the answer when this proxy can serve: the front layer asks for it before it sends clients. */
+    void whenReady(Runnable answer) {
+        if (untilReady == null) {
+            answer.run();
+        } else {
+            untilReady.add(answer);
+        }
+    }
+
+    /** From here on this proxy can serve. */
+    public void ready() {
+        if (untilReady != null) {
+            List<Runnable> answers = untilReady;
+            untilReady = null;
+            answers.forEach(Runnable::run);
+        }
+    }
+
+    void left(ClientSession session) {
+        sessions.remove(session);
+    }
+
+    public void stopListening() {
+        listener.closeSilently();
+    }
+
+    /** Lets every client go that has no request here. */
+    public void letGo() {
+        for (ClientSession session : List.copyOf(sessions)) {
+            session.closeWhenIdle();
+        }
+    }
+
+    public int clients() {
+        return sessions.size();
+    }
+}
--- a/src/main/java/mintstair/front/pg/PgStatement.java
+++ b/src/main/java/mintstair/front/pg/PgStatement.java
@@ -1,9 +1,9 @@
 package mintstair.front.pg;
 
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.Map;
-import mintstair.request.Note;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import mintstair.front.RequestRules;
 import mintstair.request.ProxyRequest;
 import mintstair.request.Statement;
 import mintstair.wire.PgWriter;
@@ -11,21 +11,24 @@
 
 /** One statement and the values in its comment; it is passed on as it came but for {@code d}. */
 final class PgStatement implements Statement {
-    private final String before;
-    private final String after;
+    private static final Pattern DEADLINE = Pattern.compile("(?:^|,)\\s*d\\s*=\\s*(\\d{1,15})\\s*(?=,|$)");
+
+    private final byte[] before;
+    private final byte[] after;
 
     private PgStatement(String before, String after) {
-        this.before = before;
-        this.after = after;
+        this.before = before.getBytes(StandardCharsets.ISO_8859_1);
+        this.after = after.getBytes(StandardCharsets.ISO_8859_1);
     }
 
     @Override
     public byte[] encode(long waitMillis) {
-        return new PgWriter().message('Q', before + waitMillis + after).bytes();
+        return new PgWriter().message('Q', before, Long.toString(waitMillis).getBytes(StandardCharsets.ISO_8859_1), after,
+            '\0').bytes();
     }
 
     /** Reads a query as a request; throws {@link ProtocolException} where it is none that can be passed on. */
-    static ProxyRequest parse(String query) {
+    static ProxyRequest parse(String query, RequestRules rules) {
         int open = query.lastIndexOf("/*");
         int close = query.indexOf("*/", open + 2);
         if (open < 0 || close < 0) {
@@ -34,46 +37,19 @@
         if (!query.substring(close + 2).isBlank()) {
             throw new ProtocolException("something follows the comment");
         }
-        Map<String, String> values = new HashMap<>();
-        int d = -1;
-        int dEnd = -1;
-        for (int at = open + 2; at < close;) {
-            int comma = query.indexOf(',', at);
-            int stop = comma < 0 || comma > close ? close : comma;
-            int equals = query.indexOf('=', at);
-            if (equals < 0 || equals > stop) {
-                throw new ProtocolException("the comment must hold names and values");
-            }
-            String name = query.substring(at, equals).strip();
-            String value = query.substring(equals + 1, stop).strip();
-            if (values.put(name, value) != null) {
-                throw new ProtocolException(name + " is given twice");
-            }
-            if (name.equals("d")) {
-                d = query.indexOf(value, equals + 1);
-                dEnd = d + value.length();
-            }
-            at = stop + 1;
+        String comment = query.substring(open + 2, close);
+        Matcher d = DEADLINE.matcher(comment);
+        if (!d.find()) {
+            throw new ProtocolException("the comment needs a number for d");
         }
-        long patience = number(values, "d");
-        String id = values.get("id");
-        String requestClass = values.get("c");
-        if (id == null || id.isEmpty() || requestClass == null || patience < 1 || patience > 86_400_000) {
-            throw new ProtocolException("the comment needs id, c, d and cluster");
-        }
-        String after = values.get("after");
-        return new ProxyRequest(id, requestClass, (int) number(values, "cluster"), key(query.substring(0, open)),
-            "1".equals(values.get("r")), patience * 1000,
-            after == null ? Note.UNKNOWN : number(values, "after") * 1000,
-            new PgStatement(query.substring(0, d), query.substring(dEnd)));
-    }
-
-    private static long number(Map<String, String> values, String name) {
-        String value = values.getOrDefault(name, "");
-        if (!value.matches("\\d{1,15}")) {
-            throw new ProtocolException("the comment needs a number for " + name);
+        String head = query.substring(0, open);
+        boolean writes = head.stripLeading().regionMatches(true, 0, "INSERT ", 0, 7);
+        if (!writes && !head.stripLeading().regionMatches(true, 0, "SELECT ", 0, 7)) {
+            throw new ProtocolException("only SELECT and INSERT are served");
         }
-        return Long.parseLong(value);
+        int at = open + 2;
+        return rules.request(RequestRules.comment(comment), d.group(1), writes, key(head),
+            new PgStatement(query.substring(0, at + d.start(1)), query.substring(at + d.end(1))));
     }
 
     /** The first quoted text names the session; one statement a query, so no semicolon outside quotes. */
@@ -89,15 +65,14 @@
                 throw new ProtocolException("one statement a query");
             }
         }
-        String head = statement.stripLeading();
-        boolean known = head.regionMatches(true, 0, "SELECT ", 0, 7) || head.regionMatches(true, 0, "INSERT ", 0, 7);
-        if (key == null || start >= 0 || !known) {
-            throw new ProtocolException("only SELECT and INSERT with a quoted key are served");
+        if (key == null || start >= 0) {
+            throw new ProtocolException("the statement needs a quoted key");
         }
         return key;
     }
 
+    /** The text of a query message, a character a byte, so that what is passed on is the same to the byte. */
     static String text(byte[] message) {
-        return new String(message, 5, Math.max(0, message.length - 6), StandardCharsets.UTF_8);
+        return new String(message, 5, Math.max(0, message.length - 6), StandardCharsets.ISO_8859_1);
     }
 }
--- a/src/main/java/mintstair/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import mintstair.request.Answer;
@@ -12,6 +14,7 @@
 import mintstair.request.HostList;
 import mintstair.request.ProxyRequest;
 import mintstair.request.Reply;
+import mintstair.request.Statement;
 import mintstair.routing.Directive;
 import mintstair.routing.News;
 import mintstair.routing.RequestRouter;
@@ -24,6 +27,7 @@
 public final class Dispatcher {
     /** Past its deadline by this much a request that is still held is failed, whatever the reason. */
     private static final long OVERDUE = 10_000;
+    private static final long RELEASE = 1_000_000;
 
     private final Loop loop;
     private final RequestRouter router;
@@ -31,6 +35,8 @@
     private final Counters counters;
     private final Map<Long, Taken> taken = new HashMap<>();
     private final ArrayDeque<Directive> work = new ArrayDeque<>();
+    private final Set<Integer> clusters = new HashSet<>();
+    private final Set<String> serving = new HashSet<>();
     private boolean working;
     private long numbers;
     private Future<?> alarm;
@@ -54,9 +60,21 @@
         this.counters = counters;
     }
 
-    /** Whether requests of this class can be taken at all. */
-    public boolean knowsClass(String requestClass) {
-        return router.knowsClass(requestClass);
+    /** What is known of classes; a front asks before it submits. */
+    public RequestRouter classes() {
+        return router;
+    }
+
+    /** Whether some host of this cluster was ever listed. */
+    public boolean knowsCluster(int cluster) {
+        return clusters.contains(cluster);
+    }
+
+    /** Has a host let go of what it holds for a client, if it still takes anything; nobody waits for it. */
+    public void release(String host, Statement statement) {
+        if (serving.contains(host)) {
+            hosts.send(host, statement, loop.now() + RELEASE, reply -> { });
+        }
     }
 
     /** Takes a request in; {@code client} gets its one final answer unless the exchange is abandoned. */
@@ -81,6 +99,17 @@
     }
 
     public void listed(HostList list, boolean old) {
+        if (list.whole()) {
+            serving.clear();
+        }
+        for (HostList.Entry entry : list.entries()) {
+            clusters.add(entry.cluster());
+            if (entry.state() == HostList.State.SERVING) {
+                serving.add(entry.host());
+            } else {
+                serving.remove(entry.host());
+            }
+        }
         hosts.listed(list);
         carryOut(router.report(loop.now(), new News.Listed(list, old)));
     }
@@ -100,9 +129,11 @@
     }
 
     private void overdue(Taken t) {
-        if (!t.exchange.isOver()) {
+        if (loop.now() < t.exchange.deadline()) {
+            t.guard = loop.at(t.exchange.deadline() + OVERDUE, () -> overdue(t));
+        } else if (!t.exchange.isOver()) {
             counters.overdue++;
-            answer(t, new Answer.Failed("deadline passed"));
+            answer(t, new Answer.Failed("its time ran out", true));
             carryOut(router.report(loop.now(), new News.ClientGone(t.exchange.number())));
         }
     }
@@ -148,7 +179,8 @@
         } else if (directive instanceof Directive.Fail d) {
             Taken t = taken.get(d.request());
             if (t != null) {
-                answer(t, new Answer.Failed("no host could serve it"));
+                boolean late = loop.now() >= t.exchange.deadline();
+                answer(t, new Answer.Failed(late ? "its time ran out" : "no host could serve it", late));
             }
         } else if (directive instanceof Directive.Probe d) {
             long sentAt = loop.now();
@@ -184,7 +216,7 @@
         t.out.remove(d.attempt());
         counters.ended(reply.end());
         if (reply.end() == ConnectionEnd.SERVED) {
-            answer(t, new Answer.Served(reply.body()));
+            answer(t, new Answer.Served(d.host(), reply.body()));
         }
         long now = loop.now();
         boolean over = t.exchange.isOver();
--- a/src/main/java/mintstair/request/ProxyRequest.java
+++ b/src/main/java/mintstair/request/ProxyRequest.java
@@ -11,6 +11,7 @@
  * @param patienceMicros how long the client waits from the arrival on
  * @param afterMicros the position that a session's read must see, or {@link Note#UNKNOWN}
  * @param statement what to pass on
+ * @param pinned the only host that can serve it, as it holds the cursor that is read on; null for any
  */
 public record ProxyRequest(String id, String requestClass, int cluster, String session, boolean clientRetry,
-        long patienceMicros, long afterMicros, Statement statement) { }
+        long patienceMicros, long afterMicros, Statement statement, String pinned) { }
--- a/src/main/java/mintstair/routing/RequestRouter.java
+++ b/src/main/java/mintstair/routing/RequestRouter.java
@@ -8,12 +8,14 @@
 import mintstair.decision.ReadWriteSplitter;
 import mintstair.decision.SplitterApi;
 import mintstair.decision.SplitterApi.Ending;
+import mintstair.decision.SplitterApi.Freshness;
 import mintstair.decision.SplitterApi.HostEntry;
 import mintstair.decision.SplitterApi.HostState;
 import mintstair.decision.SplitterApi.ListKind;
 import mintstair.decision.SplitterApi.Outcome;
 import mintstair.decision.SplitterApi.Report;
 import mintstair.decision.SplitterApi.Request;
+import mintstair.decision.SplitterApi.RequestClass;
 import mintstair.decision.SplitterApi.Role;
 import mintstair.config.Env;
 import mintstair.request.ConnectionEnd;
@@ -56,13 +58,33 @@
         return env.classes.containsKey(requestClass);
     }
 
+    /** Whether a class of this name is one of writes. */
+    public boolean isWrite(String requestClass) {
+        return classOf(requestClass).freshness() == Freshness.WRITE;
+    }
+
+    /** How long clients wait for an answer of this class, where they do not say, in microseconds. */
+    public long deadline(String requestClass) {
+        return classOf(requestClass).deadline();
+    }
+
+    private RequestClass classOf(String name) {
+        return env.settings.classes().get(env.classes.get(name));
+    }
+
     /** Decides on a new request, whose number is used for it from here on. */
     public List<Directive> pick(long at, long number, ProxyRequest r) {
         now = at;
         taken.put(number, new Taken());
-        long age = r.afterMicros() == Note.UNKNOWN ? SplitterApi.UNKNOWN : Math.max(0, at - r.afterMicros());
+        long age = at - r.afterMicros();
+        if (r.afterMicros() == Note.UNKNOWN) {
+            age = SplitterApi.UNKNOWN;
+        } else if (age == SplitterApi.UNKNOWN) {
+            // A commit that a hasty clock puts into the future is a token all the same, not a missing one.
+            age--;
+        }
         module.onRequest(at, new Request(number, env.classes.get(r.requestClass()), r.cluster(), r.session(), -1,
-            r.clientRetry(), r.patienceMicros(), age));
+            r.clientRetry(), r.patienceMicros(), age, r.pinned()));
         return takeDue();
     }
 
--- /dev/null
+++ b/src/main/java/mintstair/serve/Service.java
@@ -0,0 +1,58 @@
+package mintstair.serve;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import mintstair.backend.Backends;
+import mintstair.backend.Protocol;
+import mintstair.config.Env;
+import mintstair.discovery.Watch;
+import mintstair.front.Front;
+import mintstair.proxy.Dispatcher;
+import mintstair.proxy.Loop;
+import mintstair.request.HostList;
+import mintstair.routing.RequestRouter;
+import mintstair.stats.Counters;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/** One front and the hosts behind it, of one protocol, with a router of its own between them. */
+final class Service {
+    /** The list is known by then, or what was known at the start has to do. */
+    private static final long READY_AFTER = 300_000;
+
+    final Counters counters = new Counters();
+    final Front front;
+    private final Loop loop;
+    private final TCPNIOTransport transport;
+    private final Dispatcher dispatcher;
+
+    Service(Loop loop, TCPNIOTransport transport, Protocol protocol, long seed, Env env, int mostHostConnections,
+            FrontMaker maker) {
+        this.loop = loop;
+        this.transport = transport;
+        Backends hosts = new Backends(loop, protocol, transport, env.connectTimeout, env.connectionIdle,
+            mostHostConnections, counters);
+        dispatcher = new Dispatcher(loop, new RequestRouter(loop.now(), seed, env), hosts, counters);
+        front = maker.make(dispatcher, counters);
+    }
+
+    /** Makes the front of a service. */
+    interface FrontMaker {
+        Front make(Dispatcher dispatcher, Counters counters);
+    }
+
+    /** Begins to serve: from the list as last known, and from discovery where there is one; returns the port. */
+    int start(InetSocketAddress listen, InetSocketAddress discovery, HostList known) throws IOException {
+        loop.execute(() -> {
+            if (known != null) {
+                dispatcher.listed(known, discovery != null);
+            }
+            if (discovery != null) {
+                new Watch(loop, transport, discovery, list -> dispatcher.listed(list, false)).start();
+            }
+        });
+        int port = front.listen(listen);
+        loop.at(loop.now() + READY_AFTER, front::ready);
+        System.out.println("serving on " + listen.getHostString() + ":" + port);
+        return port;
+    }
+}
--- a/src/main/java/mintstair/stats/Counters.java
+++ b/src/main/java/mintstair/stats/Counters.java
@@ -15,6 +15,7 @@
     public long overdue;
     public long malformed;
     public long clientsOpened;
+    public long clientsTurnedAway;
     public long hostsOpened;
     private final long[] ends = new long[ConnectionEnd.values().length];
 
@@ -38,6 +39,7 @@
         StringBuilder line = new StringBuilder("taken=" + taken + " served=" + served + " refused=" + refused
             + " failed=" + failed + " abandoned=" + abandoned + " overdue=" + overdue + " malformed=" + malformed
             + " sent=" + sent + " probes=" + probes + " client_connections=" + clientsOpened
+            + " clients_turned_away=" + clientsTurnedAway
             + " host_connections=" + hostsOpened);
         for (ConnectionEnd end : ConnectionEnd.values()) {
             line.append(' ').append(end.name().toLowerCase(java.util.Locale.ROOT)).append('=').append(ends[end.ordinal()]);
--- a/src/main/java/mintstair/wire/Framer.java
+++ b/src/main/java/mintstair/wire/Framer.java
@@ -44,6 +44,12 @@
         return to - from;
     }
 
+    /** Forgets what was fed and not given out. */
+    public final void clear() {
+        from = 0;
+        to = 0;
+    }
+
     /** The length of the message that begins here, or -1 while that cannot be told from {@code n} bytes. */
     protected abstract int length(byte[] bytes, int at, int n);
 
--- /dev/null
+++ b/src/test/java/mintstair/program/Program.java
@@ -0,0 +1,107 @@
+package mintstair.program;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import mintstair.standin.StandInHost;
+
+/** The program as a process of its own, and what it printed. */
+public final class Program implements AutoCloseable {
+    public static final String SETTINGS = "{\"balancers\":1,\"position\":0,\"locality\":\"a\",\"classes\":["
+        + "{\"name\":\"bounded\",\"repeat\":\"idempotent\",\"sloS\":5,\"deadlineS\":5,\"worth\":1,\"lateValue\":0.2},"
+        + "{\"name\":\"session\",\"repeat\":\"idempotent\",\"sloS\":5,\"deadlineS\":5,\"worth\":3,\"lateValue\":0.2},"
+        + "{\"name\":\"any\",\"repeat\":\"idempotent\",\"sloS\":5,\"deadlineS\":5,\"worth\":4,\"lateValue\":0.2},"
+        + "{\"name\":\"write\",\"repeat\":\"at_most_once\",\"sloS\":5,\"deadlineS\":5,\"worth\":3,\"lateValue\":0.3}],"
+        + "\"familyInfo\":{\"classBoundS\":[0.2,0,0,0],\"consistency\":[\"bounded\",\"session\",\"any\",\"write\"],"
+        + "\"listRole\":\"late\",\"serverChecks\":\"none\",\"sessionMarks\":\"carried\",\"tellsPosition\":true},"
+        + "\"limits\":{\"maxAttempts\":8,\"cancelling\":true,\"probing\":PROBING,\"secondCopies\":true,"
+        + "\"retryAfter\":true,\"maxRetryAfterS\":2,\"connectTimeoutS\":0.25,\"connIdleS\":15},"
+        + "\"invariants\":{\"coldFrom\":0.24,\"drainGraceS\":1,\"fallMultiple\":3,\"fallS\":1.5,\"warmAfterS\":15},"
+        + "\"prices\":{\"probe\":0.04},\"report\":{\"fields\":[\"x0\",\"x1\"],\"how\":\"probe\"}}";
+
+    final Process process;
+    final List<String> printed = new ArrayList<>();
+
+    Program(String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "mintstair.Main"));
+        command.addAll(List.of(arguments));
+        process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        StandInHost.daemon(this::read);
+    }
+
+    /** A proxy for these hosts of PostgreSQL's protocol, and with an operator's file if that is not null. */
+    static Program serve(int discovery, String known, boolean probing, String operator) throws IOException {
+        Path folder = Files.createTempDirectory("mintstair");
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery
+            + "\",\"seed\":\"5c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":{\"rev\":1,\"all\":true,\"targets\":["
+            + known + "]},\"settings\":" + SETTINGS.replace("PROBING", "" + probing) + "}");
+        if (operator == null) {
+            return new Program("serve", config.toString());
+        }
+        Path file = folder.resolve("operator.json");
+        Files.writeString(file, operator);
+        return new Program("serve", "--operator", file.toString(), config.toString());
+    }
+
+    private void read() {
+        try (BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = out.readLine(); line != null; line = out.readLine()) {
+                synchronized (printed) {
+                    printed.add(line);
+                }
+            }
+        } catch (IOException e) {
+            // The process is gone.
+        }
+    }
+
+    /** The port of the n-th front, from 0. */
+    int port(int n) {
+        await(() -> lines("serving on ").size() > n, "a front");
+        String line = lines("serving on ").get(n);
+        return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+    }
+
+    List<String> lines(String start) {
+        synchronized (printed) {
+            return printed.stream().filter(line -> line.startsWith(start)).toList();
+        }
+    }
+
+    /** Sends SIGTERM and gives the exit status. */
+    int terminate() throws InterruptedException {
+        process.destroy();
+        return exit();
+    }
+
+    int exit() throws InterruptedException {
+        if (!process.waitFor(30, TimeUnit.SECONDS)) {
+            throw new AssertionError("the program does not end: " + printed);
+        }
+        return process.exitValue();
+    }
+
+    /** Waits for what must come, however slow the machine. */
+    public static void await(BooleanSupplier condition, String what) {
+        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30); !condition.getAsBoolean();) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("waited in vain for " + what);
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+}
