--- a/src/main/java/mintstair/backend/pg/PgProtocol.java
+++ b/src/main/java/mintstair/backend/pg/PgProtocol.java
@@ -1,6 +1,7 @@
 package mintstair.backend.pg;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import mintstair.backend.Protocol;
 import mintstair.request.ConnectionEnd;
@@ -43,20 +44,31 @@
     public Note report(byte[] body) {
         HostRole role = HostRole.UNTOLD;
         long position = Note.UNKNOWN;
-        for (String field : PgParser.text(body, 0, body.length).split("[,\\x00-\\x1f]")) {
-            int at = Math.max(field.indexOf("x0="), field.indexOf("x1="));
-            if (at >= 0) {
-                double value = PgParser.number(field.substring(at + 3));
-                if (field.charAt(at + 1) == '0') {
-                    position = Math.round(value * 1e6);
-                } else {
-                    role = value == 1 ? HostRole.PRIMARY : HostRole.REPLICA;
-                }
+        for (String field : row(body).split(",")) {
+            if (field.startsWith("x0=")) {
+                position = Math.round(PgParser.number(field.substring(3)) * 1e6);
+            } else if (field.startsWith("x1=")) {
+                role = PgParser.number(field.substring(3)) == 1 ? HostRole.PRIMARY : HostRole.REPLICA;
             }
         }
         return new Note(role, position);
     }
 
+    /** The one column of the row among a reply's messages; what follows it is no part of the report. */
+    private static String row(byte[] body) {
+        ByteBuffer in = ByteBuffer.wrap(body);
+        while (in.remaining() >= 5) {
+            byte type = in.get();
+            int length = in.getInt(in.position());
+            if (type == 'D' && length >= 10) {
+                int start = in.position() + 10;
+                return PgParser.text(body, start, Math.min(body.length, start + Math.max(0, in.getInt(start - 4))));
+            }
+            in.position(Math.min(body.length, in.position() + length));
+        }
+        return "";
+    }
+
     /** Collects the messages of a reply until the host is ready again. */
     static final class PgParser implements Parser {
         private ByteArrayOutputStream body = new ByteArrayOutputStream(256);
--- a/src/test/java/mintstair/program/Program.java
+++ b/src/test/java/mintstair/program/Program.java
@@ -77,10 +77,9 @@
         }
     }
 
-    /** Sends SIGTERM and gives the exit status. */
-    int terminate() throws InterruptedException {
-        process.destroy();
-        return exit();
+    /** Sends SIGTERM; by its handle, as the process itself would close what it prints to. */
+    void terminate() {
+        process.toHandle().destroy();
     }
 
     int exit() throws InterruptedException {
--- /dev/null
+++ b/src/test/java/mintstair/program/ProgramTest.java
@@ -0,0 +1,162 @@
+package mintstair.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import mintstair.standin.Client;
+import mintstair.standin.Discovery;
+import mintstair.standin.PgHost;
+import mintstair.standin.StandInHost.Act;
+import mintstair.wire.PgWriter;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The platform's front from outside: the program, stand-in hosts and discovery, and clients on sockets. */
+class ProgramTest {
+    private static final long AHEAD = System.currentTimeMillis() + 3_600_000;
+    private PgHost primary;
+    private PgHost replica;
+    private Discovery discovery;
+    private Program program;
+
+    @BeforeEach
+    void start() throws IOException {
+        primary = new PgHost("p", true, AHEAD);
+        replica = new PgHost("r", false, AHEAD);
+        String list = primary.listed("SERVING") + "," + replica.listed("SERVING");
+        discovery = new Discovery(list);
+        program = Program.serve(discovery.port(), list, true, null);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        program.close();
+        discovery.close();
+        primary.close();
+        replica.close();
+    }
+
+    @Test
+    void startupQueryAndEmptyQueryInOneWriteAreAnsweredInTurn() throws IOException {
+        try (Client.Pg client = new Client.Pg(program.port(0), true)) {
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            all.writeBytes(Client.Pg.startup());
+            all.writeBytes(Client.Pg.query(""));
+            all.writeBytes(Client.Pg.query(Client.Pg.words(true, "id=one,c=write,cluster=1", 4000)));
+            all.writeBytes(Client.Pg.query(Client.Pg.words(false, "id=two,c=any,cluster=1", 4000)));
+            client.raw(all.toByteArray());
+            assertEquals("nothing", client.answer());
+            assertEquals("empty", client.answer());
+            assertEquals("served one", client.answer());
+            assertEquals("served two", client.answer());
+        }
+    }
+
+    @Test
+    void badInputGetsAProtocolErrorAndIsNotPassedOn() throws IOException {
+        int port = program.port(0);
+        try (Client.Pg client = new Client.Pg(port)) {
+            for (String query : new String[] {"SELECT 1", "SELECT payload FROM entries WHERE ref = '7f' /* id=1 */",
+                "SELECT '7f' /* id=1,c=any,cluster=1,d=x */", "DROP TABLE x /* id=1,c=any,cluster=1,d=9 */",
+                "SELECT '7f'; SELECT 2 /* id=1,c=any,cluster=1,d=9 */", "SELECT '7f' /* id=1,c=no,cluster=1,d=9 */",
+                "SELECT '7f' /* id=1,c=any,cluster=9,d=9 */", "INSERT INTO e VALUES ('7f') /* id=1,c=any,cluster=1,d=9 */"}) {
+                client.raw(Client.Pg.query(query));
+                assertEquals("failed", client.answer(), query);
+                assertEquals("08P01", client.code, query);
+            }
+            assertEquals("served fine", client.ask(false, "id=fine,c=any,cluster=1", 4000));
+            client.raw(new byte[] {'Q', 0x7f, 0, 0, 0});
+            assertEquals("failed", client.answer());
+            assertEquals(-1, client.in.read(), "garbage ends the connection");
+        }
+        byte[] startup = new PgWriter().packet(77, "user", "").bytes();
+        for (byte[] garbage : new byte[][] {{0, 0, 0, 1, 9, 9, 9, 9}, startup}) {
+            try (Client.Pg client = new Client.Pg(port, true)) {
+                client.raw(garbage);
+                assertEquals("failed", client.answer());
+            }
+        }
+        assertTrue(primary.seen.size() + replica.seen.size() == 1, "only the good one was passed on");
+    }
+
+    @Test
+    void writeThatMayHaveRunIsFailedOnceAndOneTurnedAwayIsRefusedWithAComeBack() throws IOException {
+        primary.script.put("broken", Act.BREAK);
+        primary.script.put("full", Act.FULL);
+        try (Client.Pg client = new Client.Pg(program.port(0))) {
+            assertEquals("failed", client.ask(true, "id=broken,c=write,cluster=1", 2000));
+            assertEquals(1, primary.seen.stream().filter("broken"::equals).count());
+            String refused = client.ask(true, "id=full,c=write,cluster=1", 100);
+            assertTrue(refused.startsWith("refused ") && !refused.equals("refused 0"), refused);
+        }
+    }
+
+    /** A host that accepts and never speaks: its requests go elsewhere or end in time, and others are served. */
+    @Test
+    void silentHostCostsNoAnswer() throws IOException {
+        replica.script.put("lost", Act.SILENT);
+        primary.script.put("lost", Act.SILENT);
+        try (Client.Pg client = new Client.Pg(program.port(0))) {
+            assertTrue(client.ask(false, "id=lost,c=any,cluster=1", 300).startsWith("refused"));
+            assertEquals("served next", client.ask(false, "id=next,c=any,cluster=1", 4000));
+        }
+    }
+
+    @Test
+    void watchTellsOfDrainsAndABrokenListKeepsTheLast() throws IOException {
+        try (Client.Pg client = new Client.Pg(program.port(0))) {
+            discovery.tell("{\"uid\":17}");
+            int asked = discovery.asked.size();
+            Program.await(() -> discovery.asked.size() > asked + 1, "the watch to ask again");
+            assertEquals("served kept", client.ask(false, "id=kept,c=any,cluster=1", 4000));
+            discovery.tell(primary.listed("SERVING") + "," + replica.listed("DRAINING"));
+            int told = discovery.asked.size();
+            Program.await(() -> discovery.asked.size() > told, "the watch to be told");
+            int before = replica.seen.size();
+            for (int i = 0; i < 20; i++) {
+                assertEquals("served after" + i, client.ask(false, "id=after" + i + ",c=any,cluster=1", 4000));
+            }
+            assertTrue(replica.seen.size() <= before + 1, "a draining host gets nothing new");
+        }
+    }
+
+    /** SIGTERM while a request is held: it is answered, a new client is still served, and the end is a good one. */
+    @Test
+    void terminationFinishesWhatIsHeldAndCounts() throws Exception {
+        primary.script.put("held", Act.SILENT);
+        int port = program.port(0);
+        try (Client.Pg client = new Client.Pg(port)) {
+            client.send(true, "id=held,c=write,cluster=1", 1500);
+            Program.await(() -> primary.seen.contains("held"), "the write");
+            program.terminate();
+            try (Client.Pg late = new Client.Pg(port)) {
+                assertEquals("served late", late.ask(false, "id=late,c=any,cluster=1", 4000));
+            }
+            assertEquals("failed", client.answer());
+        }
+        assertEquals(0, program.exit());
+        Program.await(() -> !program.lines("counters: ").isEmpty(), "the counters");
+        String counters = program.lines("counters: ").get(0);
+        assertTrue(counters.contains("taken=2 served=1 refused=0 failed=1 abandoned=0"), counters);
+    }
+
+    @Test
+    void badConfigurationIsOnePlainLineAndStatusTwo(@TempDir Path folder) throws Exception {
+        Path file = Files.writeString(folder.resolve("c.json"), "{\"name\":\"n1\"}");
+        for (String[] arguments : new String[][] {{}, {"serve", folder.resolve("none.json").toString()},
+            {"serve", file.toString()}, {"serve", "--operator", file.toString(), file.toString()}, {"fly"}}) {
+            try (Program bad = new Program(arguments)) {
+                assertEquals(2, bad.exit(), Arrays.toString(arguments));
+                Program.await(() -> bad.lines("").size() == 1, "one line from " + Arrays.toString(arguments));
+                assertTrue(bad.lines("mintstair: ").size() == 1, bad.printed.toString());
+            }
+        }
+    }
+}
--- a/src/test/java/mintstair/standin/Client.java
+++ b/src/test/java/mintstair/standin/Client.java
@@ -114,6 +114,10 @@
 
         public BsonDocument command(BsonDocument command) throws IOException {
             raw(MongoMessage.opMsg(command.append("$db", new BsonString("orders")), 0));
+            return read();
+        }
+
+        public BsonDocument read() throws IOException {
             last = MongoHost.read(in).body();
             return last;
         }
