Keep two connections ready to each serving host

Checked in the log: no silent host, no resets, 12% refused while replicas lag. At fault: HostPool.serve opened only when a call was waiting.

--- a/src/main/java/mintstair/backend/Backends.java
+++ b/src/main/java/mintstair/backend/Backends.java
@@ -53,6 +53,7 @@
     private void sweep() {
         for (HostPool pool : pools.values()) {
             pool.closeIdle(loop.now() - idleLimit);
+            pool.keepReady();
         }
         loop.at(loop.now() + 1_000_000, this::sweep);
     }
--- a/src/main/java/mintstair/backend/HostPool.java
+++ b/src/main/java/mintstair/backend/HostPool.java
@@ -13,6 +13,10 @@
     /** More than this to one host serves nobody: it works on far fewer at a time. */
     private static final int MOST = 80;
 
+    /** Kept ready: a request that has to wait for a handshake first comes late by that much. */
+    private static final int READY = 2;
+    private static final long REST = 1_000_000;
+
     final String name;
     private final Backends backends;
     private final ArrayDeque<HostConnection> idle = new ArrayDeque<>();
@@ -20,6 +24,7 @@
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
     private InetSocketAddress address;
     private int opening;
+    private long restUntil;
     private boolean serving;
 
     HostPool(String name, Backends backends) {
@@ -36,6 +41,12 @@
             closeIdle(Long.MAX_VALUE);
         }
         address = now;
+        keepReady();
+    }
+
+    /** Opens what is missing of the connections that are kept ready. */
+    void keepReady() {
+        serve(backends.loop.now());
     }
 
     void gone() {
@@ -78,7 +89,8 @@
         while (!waiting.isEmpty() && !idle.isEmpty()) {
             idle.pollFirst().send(waiting.pollFirst(), now);
         }
-        while (opening < waiting.size() && all.size() < MOST && backends.mayOpen()) {
+        int wanted = waiting.size() + (serving && now >= restUntil ? Math.max(0, READY - idle.size()) : 0);
+        while (opening < wanted && all.size() < MOST && backends.mayOpen()) {
             opening++;
             HostConnection c = new HostConnection(this, backends);
             all.add(c);
@@ -98,6 +110,8 @@
 
     void openingFailed(HostConnection c, ConnectionEnd why) {
         opening--;
+        // A host that is out of reach is not knocked at for the sake of spare connections.
+        restUntil = backends.loop.now() + REST;
         closed(c);
         Call first = waiting.pollFirst();
         if (first != null) {
