Read, write and replay pcap files; keep configuration in a Raft store; counters

Now: replay FILE puts client streams together from a classic pcap file (cut off, reordered, sent again) and feeds each request once and in order to a front; an operator may record client traffic to such a file. Counters are told by SHOW counters, serverStatus and at the end. Seen on the way: a start that failed to bind would have waited 60 s in the hook and ended with status 0; the hook is set once the proxy serves.

--- a/src/main/java/mintstair/Main.java
+++ b/src/main/java/mintstair/Main.java
@@ -1,6 +1,8 @@
 package mintstair;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
@@ -8,11 +10,15 @@
 import mintstair.config.ConfigException;
 import mintstair.config.NodeConfig;
 import mintstair.config.OperatorConfig;
+import mintstair.pcap.Replay;
 import mintstair.serve.Proxy;
+import mintstair.store.Store;
 
 /** The program's commands; what is wrong with its input ends it with one line and status 2. */
 public final class Main {
-    private static final String USAGE = "usage: java -jar mintstair.jar serve [--operator FILE] [FILE] | adapter";
+    private static final String USAGE = "usage: java -jar mintstair.jar serve [--operator FILE] [FILE] | adapter"
+        + " | replay [--to HOST:PORT] [--port PORT] [--mongodb] FILE | store OPERATOR_FILE get KEY"
+        + " | store OPERATOR_FILE put KEY VALUE";
 
     private Main() { }
 
@@ -22,6 +28,10 @@
                 Adapter.run();
             } else if (args.length >= 1 && args[0].equals("serve")) {
                 serve(Arrays.asList(args).subList(1, args.length));
+            } else if (args.length >= 2 && args[0].equals("replay")) {
+                replay(Arrays.asList(args).subList(1, args.length));
+            } else if (args.length >= 4 && args[0].equals("store")) {
+                store(args);
             } else {
                 throw new ConfigException(USAGE);
             }
@@ -49,4 +59,49 @@
         }
         new Proxy(NodeConfig.read(Path.of(file)), operator).start();
     }
+
+    /** Plays the requests of a capture once more; by default those to the port that is played to. */
+    private static void replay(List<String> args) throws IOException {
+        InetSocketAddress to = NodeConfig.address("127.0.0.1:5433");
+        String port = null;
+        boolean mongo = false;
+        for (int i = 0; i < args.size() - 1; i++) {
+            switch (args.get(i)) {
+                case "--to" -> to = NodeConfig.address(args.get(++i));
+                case "--port" -> port = args.get(++i);
+                case "--mongodb" -> mongo = true;
+                default -> throw new ConfigException(USAGE);
+            }
+        }
+        int captured = port == null ? to.getPort() : NodeConfig.address("any:" + port).getPort();
+        Path file = Path.of(args.get(args.size() - 1));
+        try {
+            System.out.println(new Replay(to, mongo).play(file, captured));
+        } catch (NoSuchFileException e) {
+            throw new ConfigException(file + ": no such file");
+        } catch (IOException e) {
+            throw new ConfigException(file + " to " + to + ": " + e.getMessage());
+        }
+    }
+
+    /** Reads or writes one entry of the store, from outside its members. */
+    private static void store(String[] args) throws IOException {
+        OperatorConfig.Members members = OperatorConfig.read(Path.of(args[1])).store();
+        if (members == null) {
+            throw new ConfigException(args[1] + ": no store is set up");
+        }
+        try (Store store = Store.outside(members.members())) {
+            if (args[2].equals("get") && args.length == 4) {
+                String value = store.get(args[3]);
+                if (value == null) {
+                    throw new ConfigException("no entry " + args[3]);
+                }
+                System.out.println(value);
+            } else if (args[2].equals("put") && args.length == 5) {
+                store.put(args[3], args[4]);
+            } else {
+                throw new ConfigException(USAGE);
+            }
+        }
+    }
 }
--- a/src/main/java/mintstair/config/NodeConfig.java
+++ b/src/main/java/mintstair/config/NodeConfig.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Map;
 import mintstair.discovery.ListReader;
@@ -28,10 +29,16 @@
             return new NodeConfig(text(map, "name"), address(text(map, "listen")), address(text(map, "discovery")),
                 seed(map.get("seed")), sockets, known, new Env(settings));
         } catch (IOException | IllegalArgumentException | ConfigException e) {
-            throw new ConfigException(file + ": " + String.valueOf(e.getMessage()).split("\n")[0]);
+            throw unusable(file, e);
         }
     }
 
+    /** One plain line on a file that cannot be used. */
+    static ConfigException unusable(Path file, Exception why) {
+        String text = why instanceof NoSuchFileException ? "no such file" : String.valueOf(why.getMessage());
+        return new ConfigException(file + ": " + text.split("\n")[0]);
+    }
+
     static String text(Map<?, ?> map, String key) {
         if (map.get(key) instanceof String s) {
             return s;
@@ -47,7 +54,7 @@
     }
 
     /** An address and port, as in 127.0.0.1:5433. */
-    static InetSocketAddress address(String text) {
+    public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         if (colon < 1) {
             throw new ConfigException("no address and port: " + text);
--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -1,5 +1,6 @@
 package mintstair.front;
 
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import mintstair.request.Answer;
@@ -26,6 +27,7 @@
     private boolean closed;
     private boolean closing;
     private Exchange exchange;
+    private Recorder.Conversation record = Recorder.Conversation.NONE;
 
     protected ClientSession(Front front, Connection<?> connection, Framer framer) {
         this.front = front;
@@ -39,9 +41,17 @@
     /** The last words to a client that broke the protocol, or null for none. */
     protected abstract byte[] lastWords(String error);
 
+    final void accepted(Recorder recorder) {
+        if (recorder != null) {
+            record = recorder.begin((InetSocketAddress) connection.getPeerAddress(),
+                (InetSocketAddress) connection.getLocalAddress());
+        }
+    }
+
     @Override
     public final void read(ByteBuffer bytes) {
         front.loop.execute(() -> {
+            record.said(true, bytes.array());
             if (!closed && !(closing && exchange == null)) {
                 framer.feed(bytes);
                 if (framer.pending() > MOST_PENDING) {
@@ -56,6 +66,7 @@
     public final void closed() {
         front.loop.execute(() -> {
             closed = true;
+            record.ended();
             front.left(this);
             if (exchange != null) {
                 front.dispatcher.clientGone(exchange);
@@ -132,6 +143,7 @@
             return;
         }
         writing = true;
+        record.said(false, words);
         ((Connection) connection).write(Buffers.wrap(front.transport.getMemoryManager(), words),
             new EmptyCompletionHandler<WriteResult>() {
                 @Override
--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -27,6 +27,7 @@
     private final Set<ClientSession> sessions = new HashSet<>();
     private List<Runnable> untilReady = new ArrayList<>();
     private TCPNIOServerConnection listener;
+    Recorder recorder;
 
     protected Front(Loop loop, Dispatcher dispatcher, TCPNIOTransport transport, Counters counters,
             int mostClients) {
@@ -37,6 +38,11 @@
         this.mostClients = mostClients;
     }
 
+    /** Has what clients say and hear written to a capture file, from now on. */
+    public void record(Recorder to) {
+        recorder = to;
+    }
+
     protected abstract ClientSession session(Connection<?> connection);
 
     /** Listens on the address, or on any free port of it for port 0; returns the port. */
@@ -55,6 +61,7 @@
     private void accepted(ClientSession session) {
         counters.clientsOpened++;
         sessions.add(session);
+        session.accepted(recorder);
         // Descriptors are few: past this many clients the hosts' connections would find none left.
         if (sessions.size() > mostClients) {
             counters.clientsTurnedAway++;
@@ -80,6 +87,11 @@
         }
     }
 
+    /** What this front took in, sent and answered so far, on one line. */
+    public String counters() {
+        return counters.toString();
+    }
+
     void left(ClientSession session) {
         sessions.remove(session);
     }
--- a/src/main/java/mintstair/front/mongo/MongoSession.java
+++ b/src/main/java/mintstair/front/mongo/MongoSession.java
@@ -83,6 +83,7 @@
             case "ping", "endSessions" -> reply(m, ok());
             case "buildInfo", "buildinfo" -> reply(m, ok().append("version", new BsonString("7.0.0"))
                 .append("versionArray", array(7, 0, 0, 0)).append("maxBsonObjectSize", new BsonInt32(longest())));
+            case "serverStatus" -> reply(m, ok().append("mintstair", counters()));
             case "find" -> find(m, c);
             case "getMore" -> getMore(m, c);
             case "killCursors" -> killCursors(m, c);
@@ -99,6 +100,15 @@
         }
     }
 
+    private BsonDocument counters() {
+        BsonDocument counters = new BsonDocument();
+        for (String part : front.counters().split(" ")) {
+            String[] pair = part.split("=");
+            counters.append(pair[0], new BsonInt64(Long.parseLong(pair[1])));
+        }
+        return counters.append("open_cursors", new BsonInt64(front.cursors().size()));
+    }
+
     private BsonDocument hello(String name) {
         BsonDocument hello = new BsonDocument(name.equals("hello") ? "isWritablePrimary" : "ismaster", BsonBoolean.TRUE)
             .append("helloOk", BsonBoolean.TRUE).append("msg", new BsonString("isdbgrid"))
--- a/src/main/java/mintstair/front/pg/PgSession.java
+++ b/src/main/java/mintstair/front/pg/PgSession.java
@@ -1,6 +1,7 @@
 package mintstair.front.pg;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import mintstair.front.ClientSession;
 import mintstair.request.Answer;
@@ -89,6 +90,12 @@
             writeWhenReady(new PgWriter().message('I').ready().bytes());
             return;
         }
+        if (head.equals("SHOW COUNTERS")) {
+            byte[] line = front.counters().getBytes(StandardCharsets.UTF_8);
+            write(new PgWriter().message('T', '\0', '\1', "counters", 0, '\0', '\0', 25, '\377', '\377', -1, '\0', '\0')
+                .message('D', '\0', '\1', line.length, line).message('C', "SHOW").ready().bytes());
+            return;
+        }
         for (String word : new String[] {"SET", "RESET", "DISCARD"}) {
             if (head.startsWith(word + " ")) {
                 write(new PgWriter().message('C', word).ready().bytes());
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -3,8 +3,11 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import mintstair.backend.Protocol;
 import mintstair.backend.mongo.MongoProtocol;
 import mintstair.backend.pg.PgProtocol;
 import mintstair.config.NodeConfig;
@@ -12,6 +15,7 @@
 import mintstair.front.mongo.MongoFront;
 import mintstair.front.pg.PgFront;
 import mintstair.proxy.Loop;
+import mintstair.request.HostList;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
@@ -28,6 +32,8 @@
     private final Loop loop = new Loop();
     private final TCPNIOTransport transport;
     private final List<Service> services = new ArrayList<>();
+    private PcapRecorder recorder;
+    private StoreKeeper keeper;
 
     public Proxy(NodeConfig config, OperatorConfig operator) {
         this.config = config;
@@ -44,21 +50,44 @@
     /** Starts to serve; returns once the proxy listens. */
     public void start() throws IOException {
         transport.start();
+        recorder = operator.record() == null ? null : new PcapRecorder(loop, operator.record());
+        int most = Math.max(16, (config.sockets() - OWN_DESCRIPTORS) / 2 / (operator.mongodb() == null ? 1 : 2));
+        add(new PgProtocol(), most, (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, most))
+            .start(config.listen(), config.discovery(), config.known());
+        OperatorConfig.Mongo mongodb = operator.mongodb();
+        if (mongodb != null) {
+            add(new MongoProtocol(), most,
+                (dispatcher, counters) -> new MongoFront(loop, dispatcher, transport, counters, most))
+                .start(mongodb.listen(), mongodb.discovery(), mongodb.hosts());
+        }
+        if (operator.store() != null) {
+            keeper = new StoreKeeper(operator.store(), config.name(), this::listed, this::state);
+        }
+        // Only what serves has something to finish: a failed start ends at once, with its own status.
         Runtime.getRuntime().addShutdownHook(new Thread(this::finish, "finish"));
-        int fronts = operator.mongodb() == null ? 1 : 2;
-        int most = Math.max(16, (config.sockets() - OWN_DESCRIPTORS) / 2 / fronts);
-        Service pg = new Service(loop, transport, new PgProtocol(), config.seed(), config.env(), most,
-            (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, most));
-        services.add(pg);
-        pg.start(config.listen(), config.discovery(), config.known());
+    }
+
+    private Service add(Protocol protocol, int most, Service.FrontMaker maker) {
+        Service service = new Service(loop, transport, protocol, config.seed(), config.env(), most, maker);
+        service.front.record(recorder);
+        services.add(service);
+        return service;
+    }
+
+    /** The store's list of MongoDB hosts stands in for the operator's. */
+    private void listed(HostList list) {
         if (operator.mongodb() != null) {
-            Service mongo = new Service(loop, transport, new MongoProtocol(), config.seed(), config.env(), most,
-                (dispatcher, counters) -> new MongoFront(loop, dispatcher, transport, counters, most));
-            services.add(mongo);
-            mongo.start(operator.mongodb().listen(), operator.mongodb().discovery(), operator.mongodb().hosts());
+            loop.execute(() -> services.get(1).listed(list));
         }
     }
 
+    private String state() {
+        CompletableFuture<String> state = new CompletableFuture<>();
+        loop.execute(() -> state.complete(services.stream().map(s -> s.counters.toString())
+            .collect(Collectors.joining("; "))));
+        return state.join();
+    }
+
     /** On SIGTERM: what arrives for a while is served, what is held is finished, then the program ends well. */
     private void finish() {
         CountDownLatch done = new CountDownLatch(1);
@@ -72,7 +101,11 @@
             Thread.currentThread().interrupt();
         }
         services.forEach(service -> System.out.println("counters: " + service.counters));
+        if (recorder != null) {
+            recorder.flush();
+        }
         System.out.flush();
+        closeStore();
         Runtime.getRuntime().halt(0);
     }
 
@@ -84,4 +117,14 @@
             loop.at(loop.now() + 10_000, () -> settle(done));
         }
     }
+
+    private void closeStore() {
+        try {
+            if (keeper != null) {
+                keeper.close();
+            }
+        } catch (IOException e) {
+            System.err.println("store: " + e.getMessage());
+        }
+    }
 }
--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -35,6 +35,11 @@
         front = maker.make(dispatcher, counters);
     }
 
+    /** Takes a list from elsewhere than discovery; on the loop. */
+    void listed(HostList list) {
+        dispatcher.listed(list, false);
+    }
+
     /** Makes the front of a service. */
     interface FrontMaker {
         Front make(Dispatcher dispatcher, Counters counters);
--- a/src/main/java/mintstair/wire/PgFramer.java
+++ b/src/main/java/mintstair/wire/PgFramer.java
@@ -1,7 +1,7 @@
 package mintstair.wire;
 
 /** PostgreSQL's messages, version 3: a type byte and a length, but for a start-up packet, which has no type. */
-public final class PgFramer extends Framer {
+public class PgFramer extends Framer {
     /** A value of 64 KiB in hexadecimal, twice over for its statement. */
     public static final int LONGEST = 256 * 1024;
     private boolean startup;
@@ -27,4 +27,23 @@
         }
         return head + length;
     }
+
+    /** Tells by itself when a client's start-up is over: with the first packet that is no request to encrypt. */
+    public static final class OfClient extends PgFramer {
+        private boolean over;
+
+        public OfClient() {
+            super(true);
+        }
+
+        @Override
+        protected int length(byte[] b, int at, int n) {
+            int length = super.length(b, at, n);
+            if (!over && length > 0 && length <= n) {
+                over = int32(b, at + 4) >> 16 == 3;
+                expectStartup(!over);
+            }
+            return length;
+        }
+    }
 }
--- a/src/test/java/mintstair/program/ProgramTest.java
+++ b/src/test/java/mintstair/program/ProgramTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
 import mintstair.standin.Client;
 import mintstair.standin.Discovery;
 import mintstair.standin.PgHost;
@@ -147,6 +148,41 @@
         assertTrue(counters.contains("taken=2 served=1 refused=0 failed=1 abandoned=0"), counters);
     }
 
+    /** What is recorded and played again reaches the hosts once more, in order, and is answered. */
+    @Test
+    void recordedTrafficIsPlayedOnceAndInOrder(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("clients.pcap");
+        try (Program recording = Program.serve(discovery.port(), primary.listed("SERVING"), true,
+                "{\"record\":{\"file\":\"" + file + "\"}}")) {
+            int port = recording.port(0);
+            try (Client.Pg client = new Client.Pg(port)) {
+                for (int i = 0; i < 5; i++) {
+                    assertEquals("served w" + i, client.ask(true, "id=w" + i + ",c=write,cluster=1", 4000));
+                }
+            }
+            recording.terminate();
+            assertEquals(0, recording.exit());
+            List<String> once = List.copyOf(primary.seen);
+            try (Program replay = new Program("replay", "--to", "127.0.0.1:" + program.port(0), "--port", "" + port,
+                    file.toString())) {
+                assertEquals(0, replay.exit());
+                Program.await(() -> replay.lines("connections=1 incomplete=0 sent=6 answered=6").size() == 1,
+                    "the line on the replay: " + replay.printed);
+            }
+            assertEquals(once, List.copyOf(primary.seen).subList(5, 10));
+        }
+    }
+
+    @Test
+    void countersAreToldOnRequest() throws IOException {
+        try (Client.Pg client = new Client.Pg(program.port(0))) {
+            assertEquals("served one", client.ask(false, "id=one,c=any,cluster=1", 4000));
+            client.raw(Client.Pg.query("SHOW counters"));
+            String counters = client.answer();
+            assertTrue(counters.startsWith("served ") && counters.contains("taken=1 served=1 "), counters);
+        }
+    }
+
     @Test
     void badConfigurationIsOnePlainLineAndStatusTwo(@TempDir Path folder) throws Exception {
         Path file = Files.writeString(folder.resolve("c.json"), "{\"name\":\"n1\"}");
