--- a/src/main/java/mintstair/Main.java
+++ b/src/main/java/mintstair/Main.java
@@ -16,7 +16,7 @@
 
 /** The program's commands; what is wrong with its input ends it with one line and status 2. */
 public final class Main {
-    private static final String USAGE = "usage: java -jar mintstair.jar serve [--operator FILE] [FILE] | adapter"
+    private static final String USAGE = "usage: java -jar mintstair.jar serve [--operator FILE] [FILE] | check FILE | adapter"
         + " | replay [--to HOST:PORT] [--port PORT] [--mongodb] FILE | store OPERATOR_FILE get KEY"
         + " | store OPERATOR_FILE put KEY VALUE";
 
@@ -28,6 +28,9 @@
                 Adapter.run();
             } else if (args.length >= 1 && args[0].equals("serve")) {
                 serve(Arrays.asList(args).subList(1, args.length));
+            } else if (args.length == 2 && args[0].equals("check")) {
+                Proxy.check(NodeConfig.read(Path.of(args[1])));
+                System.exit(0);
             } else if (args.length >= 2 && args[0].equals("replay")) {
                 replay(Arrays.asList(args).subList(1, args.length));
             } else if (args.length >= 4 && args[0].equals("store")) {
--- a/src/main/java/mintstair/backend/Backends.java
+++ b/src/main/java/mintstair/backend/Backends.java
@@ -73,13 +73,14 @@
     }
 
     @Override
-    public Sent send(String host, Statement statement, long until, Consumer<Reply> end) {
-        return start(host, new Call(statement::encode, until, false, end));
+    public Sent send(String host, Statement statement, long writeBy, long until, Consumer<Reply> end) {
+        return start(host, new Call(statement::encode, writeBy, until, false, end));
     }
 
     @Override
     public void probe(String host, Consumer<Reply> end) {
-        start(host, new Call(wait -> protocol.probe(), loop.now() + connectTimeout, true, end));
+        long until = loop.now() + connectTimeout;
+        start(host, new Call(wait -> protocol.probe(), until, until, true, end));
     }
 
     private Sent start(String host, Call call) {
--- a/src/main/java/mintstair/backend/Call.java
+++ b/src/main/java/mintstair/backend/Call.java
@@ -10,6 +10,7 @@
 /** One attempt or probe on its way: it waits for a connection, is written, and ends exactly once. */
 final class Call implements Hosts.Sent {
     final LongFunction<byte[]> words;
+    final long writeBy;
     final long until;
     final boolean probe;
     private final Consumer<Reply> listener;
@@ -19,8 +20,9 @@
     private boolean ended;
 
     /** {@code words} makes what is sent, from the milliseconds that are left until {@code until}. */
-    Call(LongFunction<byte[]> words, long until, boolean probe, Consumer<Reply> listener) {
+    Call(LongFunction<byte[]> words, long writeBy, long until, boolean probe, Consumer<Reply> listener) {
         this.words = words;
+        this.writeBy = writeBy;
         this.until = until;
         this.probe = probe;
         this.listener = listener;
--- a/src/main/java/mintstair/backend/HostPool.java
+++ b/src/main/java/mintstair/backend/HostPool.java
@@ -66,7 +66,7 @@
     void send(Call call) {
         long now = backends.loop.now();
         call.pool = this;
-        long connectBy = Math.min(call.until, now + backends.connectTimeout);
+        long connectBy = Math.min(Math.min(call.writeBy, call.until), now + backends.connectTimeout);
         call.timer = backends.loop.at(connectBy, () -> timeUp(call));
         closeIdle(now - backends.idleLimit);
         waiting.add(call);
@@ -77,7 +77,8 @@
     private void timeUp(Call call) {
         long now = backends.loop.now();
         if (call.connection == null) {
-            call.stop(opening > 0 ? ConnectionEnd.CONNECT_TIMEOUT : ConnectionEnd.NEVER_SENT);
+            boolean late = now >= call.writeBy && now < call.until;
+            call.stop(opening > 0 && !late ? ConnectionEnd.CONNECT_TIMEOUT : ConnectionEnd.NEVER_SENT);
         } else if (now < call.until) {
             call.timer = backends.loop.at(call.until, () -> timeUp(call));
         } else {
--- a/src/main/java/mintstair/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -73,7 +73,8 @@
     /** Has a host let go of what it holds for a client, if it still takes anything; nobody waits for it. */
     public void release(String host, Statement statement) {
         if (serving.contains(host)) {
-            hosts.send(host, statement, loop.now() + RELEASE, reply -> { });
+            long until = loop.now() + RELEASE;
+            hosts.send(host, statement, until, until, reply -> { });
         }
     }
 
@@ -203,7 +204,7 @@
         long until = d.until() == 0 ? t.exchange.deadline() : Math.min(d.until(), t.exchange.deadline());
         counters.sent++;
         boolean[] ended = new boolean[1];
-        Hosts.Sent sent = hosts.send(d.host(), t.exchange.request().statement(), until, reply -> {
+        Hosts.Sent sent = hosts.send(d.host(), t.exchange.request().statement(), d.writeBy(), until, reply -> {
             ended[0] = true;
             attemptEnded(t, d, sentAt, reply);
         });
--- a/src/main/java/mintstair/proxy/Hosts.java
+++ b/src/main/java/mintstair/proxy/Hosts.java
@@ -13,8 +13,11 @@
         void callOff();
     }
 
-    /** Sends the statement to a host and stops waiting at {@code until}; {@code end} gets exactly one ending. */
-    Sent send(String host, Statement statement, long until, Consumer<Reply> end);
+    /**
+     * Sends the statement to a host by {@code writeBy} or not at all, and stops waiting at {@code until};
+     * {@code end} gets exactly one ending.
+     */
+    Sent send(String host, Statement statement, long writeBy, long until, Consumer<Reply> end);
 
     /** Asks a host for its report; {@code end} gets exactly one ending. */
     void probe(String host, Consumer<Reply> end);
--- a/src/main/java/mintstair/routing/Directive.java
+++ b/src/main/java/mintstair/routing/Directive.java
@@ -2,8 +2,11 @@
 
 /** What the network side is to do now. */
 public sealed interface Directive {
-    /** Start the attempt of this number at the host; stop waiting for it at {@code until}. */
-    record Send(long request, int attempt, String host, long until) implements Directive { }
+    /**
+     * Start the attempt of this number at the host; stop waiting for it at {@code until}, and do not send it at all
+     * where it cannot be written by {@code writeBy}.
+     */
+    record Send(long request, int attempt, String host, long until, long writeBy) implements Directive { }
 
     /** Stop waiting for one attempt. */
     record CallOff(long request, int attempt) implements Directive { }
--- a/src/main/java/mintstair/routing/RequestRouter.java
+++ b/src/main/java/mintstair/routing/RequestRouter.java
@@ -33,11 +33,22 @@
 
     /** What the module numbers its attempts by, and when it can be forgotten. */
     private static final class Taken {
+        final boolean bounded;
         int sent;
         int out;
         boolean over;
+
+        Taken(boolean bounded) {
+            this.bounded = bounded;
+        }
     }
 
+    /**
+     * How long the choice of a host holds for a read of bounded age: its bound counts from the send, so one that
+     * waited longer for a connection is decided anew. Less than the rules leave on sockets.
+     */
+    static final long FRESH_FOR = 40_000;
+
     private final Env env;
     private final SplitterApi.Router module;
     private final Map<Long, Taken> taken = new HashMap<>();
@@ -75,7 +86,7 @@
     /** Decides on a new request, whose number is used for it from here on. */
     public List<Directive> pick(long at, long number, ProxyRequest r) {
         now = at;
-        taken.put(number, new Taken());
+        taken.put(number, new Taken(classOf(r.requestClass()).freshness() == Freshness.BOUNDED));
         long age = at - r.afterMicros();
         if (r.afterMicros() == Note.UNKNOWN) {
             age = SplitterApi.UNKNOWN;
@@ -186,7 +197,7 @@
         @Override
         public void send(long id, String host, long abandonAt) {
             Taken t = taken.get(id);
-            due.add(new Directive.Send(id, t.sent++, host, abandonAt));
+            due.add(new Directive.Send(id, t.sent++, host, abandonAt, t.bounded ? now + FRESH_FOR : Long.MAX_VALUE));
             t.out++;
         }
 
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -1,6 +1,8 @@
 package mintstair.serve;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -12,10 +14,12 @@
 import mintstair.backend.pg.PgProtocol;
 import mintstair.config.NodeConfig;
 import mintstair.config.OperatorConfig;
+import mintstair.discovery.Watch;
 import mintstair.front.mongo.MongoFront;
 import mintstair.front.pg.PgFront;
 import mintstair.proxy.Loop;
 import mintstair.request.HostList;
+import mintstair.wire.PgWriter;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
@@ -88,6 +92,29 @@
         return state.join();
     }
 
+    /**
+     * Tries a configuration: starts its fronts on free ports of the loopback, without discovery, and asks the first
+     * whether it serves. What it loads on the way is also what the build keeps as the archive of classes.
+     */
+    public static void check(NodeConfig config) throws IOException {
+        Proxy tried = new Proxy(config, OperatorConfig.NONE);
+        tried.transport.start();
+        int port = tried.add(new PgProtocol(), 16,
+            (dispatcher, counters) -> new PgFront(tried.loop, dispatcher, tried.transport, counters, 16))
+            .start(new InetSocketAddress("127.0.0.1", 0), null, config.known());
+        new Watch(tried.loop, tried.transport, config.discovery(), list -> { });
+        try (Socket client = new Socket("127.0.0.1", port)) {
+            client.setSoTimeout(10_000);
+            client.getOutputStream().write(new PgWriter().packet(196608, "user", "web", "database", "orders", "")
+                .message('Q', "").message('X').bytes());
+            byte[] heard = client.getInputStream().readAllBytes();
+            if (heard.length < 12 || heard[heard.length - 11] != 'I') {
+                throw new IOException("the front did not answer an empty query");
+            }
+        }
+        System.out.println("the configuration can be served");
+    }
+
     /** On SIGTERM: what arrives for a while is served, what is held is finished, then the program ends well. */
     private void finish() {
         CountDownLatch done = new CountDownLatch(1);
--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -18,12 +18,15 @@
 final class Service {
     /** The list is known by then, or what was known at the start has to do. */
     private static final long READY_AFTER = 300_000;
+    /** After the list the first polls come back within this: before, replicas' positions are not known. */
+    private static final long POLLED_AFTER = 80_000;
 
     final Counters counters = new Counters();
     final Front front;
     private final Loop loop;
     private final TCPNIOTransport transport;
     private final Dispatcher dispatcher;
+    private boolean told;
 
     Service(Loop loop, TCPNIOTransport transport, Protocol protocol, long seed, Env env, int mostHostConnections,
             FrontMaker maker) {
@@ -35,6 +38,14 @@
         front = maker.make(dispatcher, counters);
     }
 
+    private void toldByDiscovery(HostList list) {
+        dispatcher.listed(list, false);
+        if (!told) {
+            told = true;
+            loop.at(loop.now() + POLLED_AFTER, front::ready);
+        }
+    }
+
     /** Takes a list from elsewhere than discovery; on the loop. */
     void listed(HostList list) {
         dispatcher.listed(list, false);
@@ -52,7 +63,7 @@
                 dispatcher.listed(known, discovery != null);
             }
             if (discovery != null) {
-                new Watch(loop, transport, discovery, list -> dispatcher.listed(list, false)).start();
+                new Watch(loop, transport, discovery, this::toldByDiscovery).start();
             }
         });
         int port = front.listen(listen);
--- a/src/main/java/mintstair/stats/Counters.java
+++ b/src/main/java/mintstair/stats/Counters.java
@@ -1,5 +1,6 @@
 package mintstair.stats;
 
+import java.util.Locale;
 import mintstair.request.Answer;
 import mintstair.request.ConnectionEnd;
 
@@ -42,7 +43,8 @@
             + " clients_turned_away=" + clientsTurnedAway
             + " host_connections=" + hostsOpened);
         for (ConnectionEnd end : ConnectionEnd.values()) {
-            line.append(' ').append(end.name().toLowerCase(java.util.Locale.ROOT)).append('=').append(ends[end.ordinal()]);
+            line.append(" ended_").append(end.name().toLowerCase(Locale.ROOT)).append('=')
+                .append(ends[end.ordinal()]);
         }
         return line.toString();
     }
--- /dev/null
+++ b/src/test/java/mintstair/backend/BackendsTest.java
@@ -0,0 +1,103 @@
+package mintstair.backend;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import mintstair.backend.pg.PgProtocol;
+import mintstair.proxy.Hosts;
+import mintstair.proxy.Loop;
+import mintstair.request.ConnectionEnd;
+import mintstair.request.HostList;
+import mintstair.request.Reply;
+import mintstair.standin.Client;
+import mintstair.standin.PgHost;
+import mintstair.standin.StandInHost.Act;
+import mintstair.stats.Counters;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Every way in which an attempt ends on its connection. */
+class BackendsTest {
+    private static final long SECOND = 1_000_000;
+    private final Loop loop = new Loop();
+    private final TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance().setSelectorRunnersCount(1).build();
+    private Backends backends;
+    private PgHost host;
+    private ServerSocket mute;
+
+    @BeforeEach
+    void start() throws IOException {
+        transport.start();
+        backends = new Backends(loop, new PgProtocol(), transport, SECOND / 4, 15 * SECOND, 50, new Counters());
+        host = new PgHost("speaks", true, 5);
+        mute = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        ServerSocket closed = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        closed.close();
+        HostList list = new HostList(1, true, List.of(entry("speaks", host.port()), entry("mute", mute.getLocalPort()),
+            entry("closed", closed.getLocalPort())));
+        loop.execute(() -> backends.listed(list));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        loop.close();
+        transport.shutdownNow();
+        host.close();
+        mute.close();
+    }
+
+    private static HostList.Entry entry(String name, int port) {
+        return new HostList.Entry(name, "127.0.0.1:" + port, "z", 1, HostList.State.SERVING, false, 1, 0);
+    }
+
+    private CompletableFuture<Reply> send(String to, String id, long writeBy, long until, Hosts.Sent[] sent) {
+        CompletableFuture<Reply> end = new CompletableFuture<>();
+        byte[] words = Client.Pg.query(Client.Pg.words(true, "id=" + id + ",c=write,cluster=1", 1));
+        loop.execute(() -> sent[0] = backends.send(to, wait -> words, loop.now() + writeBy, loop.now() + until,
+            end::complete));
+        return end;
+    }
+
+    private ConnectionEnd end(String to, String id, long writeBy, long until)
+            throws ExecutionException, InterruptedException, TimeoutException {
+        return send(to, id, writeBy, until, new Hosts.Sent[1]).get(20, TimeUnit.SECONDS).end();
+    }
+
+    @Test
+    void everyEndIsNamed() throws Exception {
+        host.script.put("broken", Act.BREAK);
+        host.script.put("silent", Act.SILENT);
+        host.script.put("off", Act.SILENT);
+        host.script.put("miss", Act.MISS);
+        assertEquals(ConnectionEnd.SERVED, end("speaks", "fine", 9 * SECOND, 9 * SECOND));
+        assertEquals(ConnectionEnd.MISS, end("speaks", "miss", 9 * SECOND, 9 * SECOND));
+        assertEquals(ConnectionEnd.BROKEN_AFTER_WRITTEN, end("speaks", "broken", 9 * SECOND, 9 * SECOND));
+        assertEquals(ConnectionEnd.TIMED_OUT, end("speaks", "silent", 9 * SECOND, SECOND / 2));
+        assertEquals(ConnectionEnd.CONNECT_FAILED, end("closed", "x", 9 * SECOND, 9 * SECOND));
+        assertEquals(ConnectionEnd.CONNECT_TIMEOUT, end("mute", "x", 9 * SECOND, 9 * SECOND));
+        assertEquals(ConnectionEnd.NEVER_SENT, end("unheard of", "x", 9 * SECOND, 9 * SECOND));
+        Hosts.Sent[] sent = new Hosts.Sent[1];
+        CompletableFuture<Reply> off = send("speaks", "off", 9 * SECOND, 9 * SECOND, sent);
+        while (!host.seen.contains("off")) {
+            Thread.onSpinWait();
+        }
+        loop.execute(() -> sent[0].callOff());
+        assertEquals(ConnectionEnd.CALLED_OFF, off.get(20, TimeUnit.SECONDS).end());
+    }
+
+    /** Guards against a read judged recent enough and sent long after, when a connection took its time. */
+    @Test
+    void whatCannotBeWrittenInTimeIsNotSent() throws Exception {
+        assertEquals(ConnectionEnd.NEVER_SENT, end("mute", "late", SECOND / 25, 9 * SECOND));
+    }
+}
--- a/src/test/java/mintstair/serve/BothFrontsTest.java
+++ b/src/test/java/mintstair/serve/BothFrontsTest.java
@@ -99,7 +99,7 @@
                         Program.await(() -> hosts.stream().anyMatch(h -> h.seen.contains("silent")), "an attempt");
                         clock.addAndGet(a.deadline * 1000L);
                     } else if (a.comment.startsWith("id=full")) {
-                        Program.await(() -> counters(loop, service).contains(" turned_away=1"), "the host's refusal");
+                        Program.await(() -> counters(loop, service).contains(" ended_turned_away=1"), "the host's refusal");
                         clock.addAndGet(a.deadline * 1000L);
                     }
                     answers.add(a.comment + ": " + client.answer());
