Bound what clients send ahead; tell a client too many; the guard waits for its own time

Seen: a client that kept sending while its request was held could fill the heap, and one past the limit on descriptors was closed without a word. One run of BothFrontsTest of eight answered "failed" for "refused": the guard of the deadline fired with the clock at the deadline, not past it by its margin (Dispatcher.overdue), before the module gave up. Ruled out: the decisions, alike in that run too. Now: what is held of all clients is bounded, what was taken is still answered before the end of the connection, and a client too many gets 53300.

--- a/src/main/java/mintstair/backend/pg/PgProtocol.java
+++ b/src/main/java/mintstair/backend/pg/PgProtocol.java
@@ -105,7 +105,7 @@
                     position = Note.UNKNOWN;
                     return reply == null ? Reply.of(ConnectionEnd.HOST_ERROR) : reply;
                 }
-                case 'K', 'N', 'I' -> { }
+                case 'K', 'N', 'I', 'A' -> { }
                 default -> throw new ProtocolException("unexpected message " + (char) m[0]);
             }
             return null;
--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -26,6 +26,9 @@
     private boolean held;
     private boolean closed;
     private boolean closing;
+    private boolean ending;
+    private byte[] last;
+    private int ahead;
     private Exchange exchange;
     private Recorder.Conversation record = Recorder.Conversation.NONE;
 
@@ -48,24 +51,40 @@
         }
     }
 
+    /** The last words to a client for which there is no room, or null where its protocol has none. */
+    protected abstract byte[] noRoomWords();
+
+    final void turnAway() {
+        end(noRoomWords());
+    }
+
     @Override
     public final void read(ByteBuffer bytes) {
         front.loop.execute(() -> {
             record.said(true, bytes.array());
-            if (!closed && !(closing && exchange == null)) {
+            if (!closed && !ending) {
                 framer.feed(bytes);
-                if (framer.pending() > MOST_PENDING) {
-                    broken("too much was sent ahead");
-                }
                 goOn();
+                if (!front.sentAhead(noteAhead()) || ahead > MOST_PENDING) {
+                    broken("too much was sent ahead of its answers");
+                }
             }
         });
     }
 
+    /** By how many bytes what is held of this client has changed since the last call. */
+    private int noteAhead() {
+        int change = framer.pending() - ahead;
+        ahead += change;
+        return change;
+    }
+
     @Override
     public final void closed() {
         front.loop.execute(() -> {
             closed = true;
+            framer.clear();
+            front.sentAhead(noteAhead());
             record.ended();
             front.left(this);
             if (exchange != null) {
@@ -90,7 +109,7 @@
     /** The next command is looked at when the answer to the last is written out: what does not read, waits. */
     private void goOn() {
         try {
-            while (!closed && exchange == null && !writing && !held) {
+            while (!closed && !ending && exchange == null && !writing && !held) {
                 byte[] message = framer.next();
                 if (message == null) {
                     break;
@@ -104,13 +123,26 @@
 
     private void broken(String error) {
         front.counters.malformed++;
+        end(lastWords(error));
+    }
+
+    /** Takes nothing more from this client; what it waits for is still answered, then come the words and the end. */
+    private void end(byte[] words) {
+        ending = true;
         closing = true;
+        last = words;
         framer.clear();
-        byte[] words = lastWords(error);
-        if (words == null) {
-            close();
-        } else {
+        front.sentAhead(noteAhead());
+        finish();
+    }
+
+    private void finish() {
+        if (ending && last != null && exchange == null && !writing) {
+            byte[] words = last;
+            last = null;
             write(words);
+        } else if (closing) {
+            closeWhenIdle();
         }
     }
 
@@ -161,8 +193,6 @@
     private void written() {
         writing = false;
         goOn();
-        if (closing) {
-            closeWhenIdle();
-        }
+        finish();
     }
 }
--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -19,12 +19,16 @@
 
 /** Where the clients of one protocol connect: the listener, and the sessions that are open. */
 public abstract class Front {
+    /** What all clients together may have sent ahead of their answers: the heap is small. */
+    private static final int MOST_AHEAD = 16 * 1024 * 1024;
+
     protected final Loop loop;
     protected final Dispatcher dispatcher;
     protected final Counters counters;
     final TCPNIOTransport transport;
     private final int mostClients;
     private final Set<ClientSession> sessions = new HashSet<>();
+    private int ahead;
     private List<Runnable> untilReady = new ArrayList<>();
     private TCPNIOServerConnection listener;
     Recorder recorder;
@@ -65,7 +69,7 @@
         // Descriptors are few: past this many clients the hosts' connections would find none left.
         if (sessions.size() > mostClients) {
             counters.clientsTurnedAway++;
-            session.close();
+            session.turnAway();
         }
     }
 
@@ -92,6 +96,12 @@
         return counters.toString();
     }
 
+    /** Notes that clients have sent so many bytes more, or less, ahead of their answers; false past the limit. */
+    boolean sentAhead(int change) {
+        ahead += change;
+        return ahead <= MOST_AHEAD;
+    }
+
     void left(ClientSession session) {
         sessions.remove(session);
     }
--- a/src/main/java/mintstair/front/mongo/MongoSession.java
+++ b/src/main/java/mintstair/front/mongo/MongoSession.java
@@ -61,6 +61,11 @@
         return MongoMessage.opMsg(Fault.FAILED_TO_PARSE.reply(error), 0);
     }
 
+    @Override
+    protected byte[] noRoomWords() {
+        return null;
+    }
+
     @Override
     protected void command(byte[] bytes) {
         MongoMessage m = MongoMessage.parse(bytes);
--- a/src/main/java/mintstair/front/pg/PgSession.java
+++ b/src/main/java/mintstair/front/pg/PgSession.java
@@ -38,6 +38,11 @@
         return new PgWriter().error("FATAL", "08P01", error, null).bytes();
     }
 
+    @Override
+    protected byte[] noRoomWords() {
+        return new PgWriter().error("FATAL", "53300", "too many clients already", null).bytes();
+    }
+
     @Override
     protected void command(byte[] m) {
         if (!started) {
--- a/src/main/java/mintstair/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -130,7 +130,7 @@
     }
 
     private void overdue(Taken t) {
-        if (loop.now() < t.exchange.deadline()) {
+        if (loop.now() < t.exchange.deadline() + OVERDUE) {
             t.guard = loop.at(t.exchange.deadline() + OVERDUE, () -> overdue(t));
         } else if (!t.exchange.isOver()) {
             counters.overdue++;
