Test pinned reads in the module: their own host once, or nowhere

Checked: after a reset a pinned read is failed and not sent again, and one whose host is not known to be recent enough is refused with nothing sent. mvn verify passes.

--- a/src/test/java/mintstair/decision/RulesTest.java
+++ b/src/test/java/mintstair/decision/RulesTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import mintstair.decision.SplitterApi.*;
 
@@ -229,4 +230,18 @@
         bed.poll("r1", bed.now - 100 * MS, Role.REPLICA);
         assertEquals("r1", bed.last().host());
     }
+
+    /** Guards against a cursor read on elsewhere, twice, or from stale data. */
+    @Test
+    void pinnedReadGoesToItsHostOnceOrNowhere() {
+        Bed bed = new Bed().start().group();
+        bed.router.onRequest(bed.now, new Request(1, Bed.ANY, 0, "s", -1, false, 1000 * Bed.MS, SplitterApi.UNKNOWN, "r2"));
+        assertEquals("r2", bed.last().host());
+        bed.outcome(bed.last(), 0, Ending.RESET);
+        assertEquals(List.of(1L), bed.failed);
+        bed.router.onRequest(bed.now, new Request(2, Bed.SESSION, 0, "s", -1, false, 1000 * Bed.MS, -5000, "r2"));
+        bed.pass(500 * Bed.MS);
+        assertEquals(List.of(2L), bed.refused);
+        assertEquals(1, bed.sends.size());
+    }
 }
