Read the configuration anew at SIGHUP and go over to the new discovery

At fault: Proxy.start installed none.

Proxy.reloadFrom installs it before anything listens; Service.discover opens the new watch and ends the old one, Watch.end sees to it that no late answer or retry of the old one is heard. The list of the old one stands until the new one speaks. A file that cannot be used gives one line on standard error. The test sends SIGHUP with a bad file, three times in a row, and during SIGTERM; without the handler the program ends at the first.

--- a/src/main/java/mintstair/Main.java
+++ b/src/main/java/mintstair/Main.java
@@ -60,7 +60,8 @@
         if (file == null) {
             throw new ConfigException("no configuration: name a file or set NODE_CONFIG");
         }
-        new Proxy(NodeConfig.read(Path.of(file)), operator).start();
+        Path path = Path.of(file);
+        new Proxy(NodeConfig.read(path), operator).start(path);
     }
 
     /** Plays the requests of a capture once more; by default those to the port that is played to. */
--- a/src/main/java/mintstair/discovery/Watch.java
+++ b/src/main/java/mintstair/discovery/Watch.java
@@ -41,6 +41,7 @@
     private long revision = -1;
     private int failures;
     private int calls;
+    private boolean ended;
 
     public Watch(Loop loop, TCPNIOTransport transport, InetSocketAddress address, Consumer<HostList> told) {
         this.loop = loop;
@@ -50,8 +51,17 @@
             .add(new TransportFilter()).add(new HttpClientFilter()).add(new Answers()).build()).build();
     }
 
+    /** Ends the watch: nothing more is told, and its connection is closed; on the loop. */
+    public void end() {
+        ended = true;
+        drop();
+    }
+
     /** Begins to watch; on the loop. */
     public void start() {
+        if (ended) {
+            return;
+        }
         int call = ++calls;
         connector.connect(address, new EmptyCompletionHandler<Connection>() {
             @Override
@@ -98,13 +108,19 @@
         if (call != calls) {
             return;
         }
+        drop();
+        loop.at(loop.now() + Math.min(RETRY_MOST, RETRY << Math.min(failures++, 4)), this::start);
+    }
+
+    private void drop() {
         calls++;
         if (connection != null) {
             connection.closeSilently();
             connection = null;
         }
-        silence.cancel(false);
-        loop.at(loop.now() + Math.min(RETRY_MOST, RETRY << Math.min(failures++, 4)), this::start);
+        if (silence != null) {
+            silence.cancel(false);
+        }
     }
 
     private void answered(Connection<?> by, int status, byte[] body) {
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -23,6 +24,7 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import sun.misc.Signal;
 
 /** One running proxy: what is made at the start, and how it ends. */
 public final class Proxy {
@@ -51,8 +53,9 @@
             .setSelectorRunnersCount(1).setTcpNoDelay(true).setReuseAddress(true).build();
     }
 
-    /** Starts to serve; returns once the proxy listens. */
-    public void start() throws IOException {
+    /** Starts to serve; returns once the proxy listens. At SIGHUP it reads {@code file} anew. */
+    public void start(Path file) throws IOException {
+        reloadFrom(file);
         transport.start();
         recorder = operator.record() == null ? null : new PcapRecorder(loop, operator.record());
         int most = Math.max(16, (config.sockets() - OWN_DESCRIPTORS) / 2 / (operator.mongodb() == null ? 1 : 2));
@@ -115,6 +118,26 @@
         System.out.println("the configuration can be served");
     }
 
+    /**
+     * Reads the file anew at each SIGHUP; from the start on, as the virtual machine would end at one otherwise. Signals
+     * that come while one is at work are handled after it, in turn.
+     */
+    private void reloadFrom(Path file) {
+        Signal.handle(new Signal("HUP"), signal -> reload(file));
+    }
+
+    /** Goes over to another discovery; a file that cannot be used changes nothing. */
+    private synchronized void reload(Path file) {
+        try {
+            NodeConfig read = NodeConfig.read(file);
+            loop.execute(() -> services.get(0).discover(read.discovery()));
+            System.out.println("configuration read anew: discovery at " + read.discovery().getHostString() + ":"
+                + read.discovery().getPort());
+        } catch (RuntimeException e) {
+            System.err.println("mintstair: the old settings stay: " + String.valueOf(e.getMessage()).split("\n")[0]);
+        }
+    }
+
     /** On SIGTERM: what arrives for a while is served, what is held is finished, then the program ends well. */
     private void finish() {
         CountDownLatch done = new CountDownLatch(1);
--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -27,6 +27,7 @@
     private final TCPNIOTransport transport;
     private final Dispatcher dispatcher;
     private boolean told;
+    private Watch watch;
 
     Service(Loop loop, TCPNIOTransport transport, Protocol protocol, long seed, Env env, int mostHostConnections,
             FrontMaker maker) {
@@ -46,6 +47,15 @@
         }
     }
 
+    /** Watches this discovery from now on, and no other; what the last one told stands until this one speaks. */
+    void discover(InetSocketAddress address) {
+        if (watch != null) {
+            watch.end();
+        }
+        watch = new Watch(loop, transport, address, this::toldByDiscovery);
+        watch.start();
+    }
+
     /** Takes a list from elsewhere than discovery; on the loop. */
     void listed(HostList list) {
         dispatcher.listed(list, false);
@@ -63,7 +73,7 @@
                 dispatcher.listed(known, discovery != null);
             }
             if (discovery != null) {
-                new Watch(loop, transport, discovery, this::toldByDiscovery).start();
+                discover(discovery);
             }
         });
         int port = front.listen(listen);
--- a/src/test/java/mintstair/program/Program.java
+++ b/src/test/java/mintstair/program/Program.java
@@ -28,6 +28,7 @@
 
     final Process process;
     final List<String> printed = new ArrayList<>();
+    private Path config;
 
     Program(String... arguments) throws IOException {
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -41,15 +42,29 @@
     static Program serve(int discovery, String known, boolean probing, String operator) throws IOException {
         Path folder = Files.createTempDirectory("mintstair");
         Path config = folder.resolve("config.json");
-        Files.writeString(config, "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery
-            + "\",\"seed\":\"5c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":{\"rev\":1,\"all\":true,\"targets\":["
-            + known + "]},\"settings\":" + SETTINGS.replace("PROBING", "" + probing) + "}");
+        Files.writeString(config, config(discovery, known, probing));
+        Program program;
         if (operator == null) {
-            return new Program("serve", config.toString());
+            program = new Program("serve", config.toString());
+        } else {
+            Path file = folder.resolve("operator.json");
+            Files.writeString(file, operator);
+            program = new Program("serve", "--operator", file.toString(), config.toString());
         }
-        Path file = folder.resolve("operator.json");
-        Files.writeString(file, operator);
-        return new Program("serve", "--operator", file.toString(), config.toString());
+        program.config = config;
+        return program;
+    }
+
+    static String config(int discovery, String known, boolean probing) {
+        return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery
+            + "\",\"seed\":\"5c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":{\"rev\":1,\"all\":true,\"targets\":["
+            + known + "]},\"settings\":" + SETTINGS.replace("PROBING", "" + probing) + "}";
+    }
+
+    /** Puts another text into the configuration file and sends SIGHUP. */
+    void reload(String text) throws IOException {
+        Files.writeString(config, text);
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start();
     }
 
     private void read() {
--- a/src/test/java/mintstair/program/ProgramTest.java
+++ b/src/test/java/mintstair/program/ProgramTest.java
@@ -128,6 +128,31 @@
         }
     }
 
+    /** SIGHUP: another discovery is watched at once, the last list serves until it speaks, a bad file changes nothing. */
+    @Test
+    void hangUpReadsTheConfigurationAnewAndServingGoesOn() throws Exception {
+        int port = program.port(0);
+        try (Client.Pg client = new Client.Pg(port);
+                Discovery next = new Discovery(primary.listed("SERVING") + "," + replica.listed("DRAINING"))) {
+            assertEquals("served before", client.ask(false, "id=before,c=any,cluster=1", 4000));
+            program.reload("{\"name\":\"n1\"}");
+            Program.await(() -> program.lines("mintstair: the old settings stay: ").size() == 1, "a line on the bad file");
+            assertEquals("served kept", client.ask(false, "id=kept,c=any,cluster=1", 4000));
+            for (int i = 0; i < 3; i++) {
+                program.reload(Program.config(next.port(), primary.listed("SERVING"), true));
+            }
+            Program.await(() -> next.asked.stream().anyMatch(query -> query.contains("index=")), "the new discovery");
+            int before = replica.seen.size();
+            for (int i = 0; i < 20; i++) {
+                assertEquals("served new" + i, client.ask(false, "id=new" + i + ",c=any,cluster=1", 4000));
+            }
+            assertTrue(replica.seen.size() <= before + 1, "the new discovery's list is in force");
+        }
+        program.terminate();
+        program.reload(Program.config(discovery.port(), primary.listed("SERVING"), true));
+        assertEquals(0, program.exit());
+    }
+
     /** SIGTERM while a request is held: it is answered, a new client is still served, and the end is a good one. */
     @Test
     void terminationFinishesWhatIsHeldAndCounts() throws Exception {
