Make room for new clients: idle and silent ones give way, bad ones get one error in time

Clients that ask once keep their connections for good, and nothing ended those that never started.

Now at the limit a silent connection gives way, else the one idle for longest, at least 2 s. Start-up and unfinished messages end after 2 s with one error. What is read ahead is bounded per client, in commands and bytes, and a flood waits in its own socket. An unknown type or a length that its type cannot have ends the reading before anything is kept. Clients may hold three eighths of the descriptors, above the third that those with requests need.

--- a/src/main/java/mintstair/backend/pg/PgProtocol.java
+++ b/src/main/java/mintstair/backend/pg/PgProtocol.java
@@ -31,7 +31,7 @@
 
     @Override
     public Framer newFramer() {
-        return new PgFramer(false);
+        return new PgFramer.OfHost();
     }
 
     @Override
--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -1,7 +1,10 @@
 package mintstair.front;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import mintstair.request.Answer;
 import mintstair.request.Exchange;
@@ -11,24 +14,44 @@
 import mintstair.wire.ProtocolException;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.nio.NIOConnection;
 
 /** One client connection: a command at a time, answered in order. All but reading is on the loop. */
 public abstract class ClientSession implements MessageFilter.Listener {
     /** What a client may have sent ahead of its answers; one that goes on is not reading them. */
-    private static final int MOST_PENDING = 1024 * 1024;
+    private static final int MOST_PENDING = 512 * 1024;
+    private static final int MOST_COMMANDS = 64;
+    /** What was read and not yet looked at; past it nothing more is read, so that a flood waits in its own socket. */
+    private static final int MOST_UNREAD = 64 * 1024;
+    /** For the start-up, for the rest of a message that has begun, and for the end of what is cut off. */
+    private static final long PATIENCE = 2_000_000;
+    /** A client that takes nothing of its answer for so long is gone. */
+    private static final long WRITE_PATIENCE = 5_000_000;
+    private static final long NEVER = Long.MAX_VALUE;
 
     private final Front front;
     private final Connection<?> connection;
     private final Framer framer;
+    private final ArrayDeque<byte[]> commands = new ArrayDeque<>();
+    private final AtomicInteger unread = new AtomicInteger();
+    private volatile boolean paused;
+    private volatile boolean deaf;
+    private boolean heard;
     private boolean writing;
     private boolean held;
     private boolean closed;
     private boolean closing;
     private boolean ending;
     private byte[] last;
+    private int commandBytes;
     private int ahead;
+    private long partialSince = NEVER;
+    private long endingSince;
+    private long writingSince;
+    private long idleSince;
     private Exchange exchange;
     private Recorder.Conversation record = Recorder.Conversation.NONE;
 
@@ -36,6 +59,7 @@
         this.front = front;
         this.connection = connection;
         this.framer = framer;
+        idleSince = front.loop.now();
     }
 
     /** Takes one whole message; throws {@link ProtocolException} where the connection cannot go on after it. */
@@ -60,31 +84,83 @@
 
     @Override
     public final void read(ByteBuffer bytes) {
+        if (deaf) {
+            return;
+        }
+        int n = bytes.remaining();
+        if (unread.addAndGet(n) > MOST_UNREAD && !paused) {
+            paused = true;
+            reading(false);
+        }
         front.loop.execute(() -> {
+            unread.addAndGet(-n);
             record.said(true, bytes.array());
             if (!closed && !ending) {
-                framer.feed(bytes);
-                goOn();
-                if (!front.sentAhead(noteAhead()) || ahead > MOST_PENDING) {
-                    broken("too much was sent ahead of its answers");
-                }
+                take(bytes);
+            }
+            if (paused && unread.get() == 0 && !closed) {
+                paused = false;
+                reading(true);
             }
         });
     }
 
+    private void reading(boolean on) {
+        try {
+            if (on) {
+                ((NIOConnection) connection).enableIOEvent(IOEvent.READ);
+            } else {
+                ((NIOConnection) connection).disableIOEvent(IOEvent.READ);
+            }
+        } catch (IOException e) {
+            connection.terminateSilently();
+        }
+    }
+
+    private void take(ByteBuffer bytes) {
+        boolean partial = framer.pending() > 0;
+        framer.feed(bytes);
+        try {
+            for (byte[] m = framer.next(); m != null; m = framer.next()) {
+                commands.add(m);
+                commandBytes += m.length;
+                partial = false;
+            }
+        } catch (ProtocolException e) {
+            goOn();
+            broken(e.getMessage());
+            return;
+        }
+        partialSince = framer.pending() == 0 ? NEVER : partial ? partialSince : front.loop.now();
+        goOn();
+        if (!closed && !ending && (!front.sentAhead(noteAhead()) || ahead > MOST_PENDING
+                || commands.size() > MOST_COMMANDS)) {
+            broken("too much was sent ahead of its answers");
+        }
+    }
+
     /** By how many bytes what is held of this client has changed since the last call. */
     private int noteAhead() {
-        int change = framer.pending() - ahead;
+        int change = framer.pending() + commandBytes - ahead;
         ahead += change;
         return change;
     }
 
+    /** Drops what was sent and not looked at. */
+    private void forget() {
+        framer.clear();
+        commands.clear();
+        commandBytes = 0;
+        partialSince = NEVER;
+        front.sentAhead(noteAhead());
+    }
+
     @Override
     public final void closed() {
+        front.closed();
         front.loop.execute(() -> {
             closed = true;
-            framer.clear();
-            front.sentAhead(noteAhead());
+            forget();
             record.ended();
             front.left(this);
             if (exchange != null) {
@@ -93,28 +169,65 @@
         });
     }
 
+    /** Ends what has been waited for long enough: a start-up, the rest of a message, a client that does not read. */
+    final void sweep(long now) {
+        if (ending ? now - endingSince > PATIENCE : writing && now - writingSince > WRITE_PATIENCE) {
+            cutOff(now);
+        } else if (!ending && !heard && now - idleSince > PATIENCE) {
+            broken("the connection was not started in time");
+        } else if (!ending && now - Math.min(now, partialSince) > PATIENCE) {
+            broken("a message was not finished in time");
+        }
+    }
+
+    /** What an ending client still waits for is given up: it is told so by its last words, or by the close. */
+    private void cutOff(long now) {
+        if (exchange == null || writing || last == null) {
+            closed = true;
+            connection.terminateSilently();
+            return;
+        }
+        Exchange open = exchange;
+        exchange = null;
+        front.dispatcher.clientGone(open);
+        endingSince = now;
+        finish();
+    }
+
+    /** Whether it has said nothing yet that the proxy could read. */
+    final boolean isSilent() {
+        return !heard && !ending;
+    }
+
+    /** Since when nothing has been open here, or never where something is. */
+    final long idleSince() {
+        boolean open = closed || closing || exchange != null || writing || held || ending || framer.pending() > 0 || !commands.isEmpty();
+        return open ? NEVER : idleSince;
+    }
+
     /** Closes now, where no request is held, else after its answer. */
     final void closeWhenIdle() {
         closing = true;
-        if (!closed && exchange == null && !writing && framer.pending() == 0) {
+        if (!closed && exchange == null && !writing && framer.pending() == 0 && commands.isEmpty()) {
             close();
         }
     }
 
     protected final void close() {
         closed = true;
+        deaf = true;
         connection.closeSilently();
     }
 
     /** The next command is looked at when the answer to the last is written out: what does not read, waits. */
     private void goOn() {
         try {
-            while (!closed && !ending && exchange == null && !writing && !held) {
-                byte[] message = framer.next();
-                if (message == null) {
-                    break;
-                }
+            while (!closed && !ending && exchange == null && !writing && !held && !commands.isEmpty()) {
+                byte[] message = commands.poll();
+                commandBytes -= message.length;
                 command(message);
+                heard = true;
+                idleSince = front.loop.now();
             }
         } catch (ProtocolException e) {
             broken(e.getMessage());
@@ -128,11 +241,15 @@
 
     /** Takes nothing more from this client; what it waits for is still answered, then come the words and the end. */
     private void end(byte[] words) {
+        if (ending) {
+            return;
+        }
         ending = true;
+        deaf = true;
         closing = true;
+        endingSince = front.loop.now();
         last = words;
-        framer.clear();
-        front.sentAhead(noteAhead());
+        forget();
         finish();
     }
 
@@ -175,6 +292,7 @@
             return;
         }
         writing = true;
+        writingSince = front.loop.now();
         record.said(false, words);
         ((Connection) connection).write(Buffers.wrap(front.transport.getMemoryManager(), words),
             new EmptyCompletionHandler<WriteResult>() {
@@ -185,13 +303,14 @@
 
                 @Override
                 public void failed(Throwable why) {
-                    connection.closeSilently();
+                    connection.terminateSilently();
                 }
             });
     }
 
     private void written() {
         writing = false;
+        idleSince = front.loop.now();
         goOn();
         finish();
     }
--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -3,9 +3,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import mintstair.proxy.Dispatcher;
 import mintstair.proxy.Loop;
 import mintstair.stats.Counters;
@@ -20,14 +21,18 @@
 /** Where the clients of one protocol connect: the listener, and the sessions that are open. */
 public abstract class Front {
     /** What all clients together may have sent ahead of their answers: the heap is small. */
-    private static final int MOST_AHEAD = 16 * 1024 * 1024;
+    private static final int MOST_AHEAD = 8 * 1024 * 1024;
+    /** A client with no request open may be let go after this. */
+    private static final long IDLE = 2_000_000;
+    private static final long SWEEP_EVERY = 200_000;
 
     protected final Loop loop;
     protected final Dispatcher dispatcher;
     protected final Counters counters;
     final TCPNIOTransport transport;
     private final int mostClients;
-    private final Set<ClientSession> sessions = new HashSet<>();
+    private final AtomicInteger open = new AtomicInteger();
+    private final Set<ClientSession> sessions = new LinkedHashSet<>();
     private int ahead;
     private List<Runnable> untilReady = new ArrayList<>();
     private TCPNIOServerConnection listener;
@@ -52,6 +57,12 @@
     /** Listens on the address, or on any free port of it for port 0; returns the port. */
     public int listen(InetSocketAddress address) throws IOException {
         MessageFilter filter = new MessageFilter(connection -> {
+            // Those past the limit are told so by the loop; a flood that is faster than the loop gets no further.
+            if (open.incrementAndGet() > mostClients + slack(mostClients)) {
+                open.decrementAndGet();
+                connection.terminateSilently();
+                return null;
+            }
             ClientSession session = session(connection);
             loop.execute(() -> accepted(session));
             return session;
@@ -59,6 +70,7 @@
         listener = TCPNIOBindingHandler.builder(transport)
             .processor(FilterChainBuilder.stateless().add(new TransportFilter()).add(filter).build()).build()
             .bind(address, 1024);
+        loop.at(loop.now() + SWEEP_EVERY, this::sweep);
         return ((InetSocketAddress) listener.getLocalAddress()).getPort();
     }
 
@@ -68,11 +80,49 @@
         session.accepted(recorder);
         // Descriptors are few: past this many clients the hosts' connections would find none left.
         if (sessions.size() > mostClients) {
+            makeRoom(session);
+        }
+    }
+
+    /** How many connections beyond {@code mostClients} may be open while they are told that there is no room. */
+    public static int slack(int mostClients) {
+        return Math.max(8, mostClients / 6);
+    }
+
+    /** Lets one client go that has said nothing yet, else the one longest idle, else the one that came last. */
+    private void makeRoom(ClientSession newest) {
+        long now = loop.now();
+        ClientSession idlest = null;
+        for (ClientSession session : sessions) {
+            if (session != newest && session.isSilent()) {
+                counters.clientsTurnedAway++;
+                session.turnAway();
+                return;
+            }
+            if (now - session.idleSince() > IDLE && (idlest == null || session.idleSince() < idlest.idleSince())) {
+                idlest = session;
+            }
+        }
+        if (idlest != null) {
+            counters.clientsIdledOut++;
+            idlest.closeWhenIdle();
+        } else {
             counters.clientsTurnedAway++;
-            session.turnAway();
+            newest.turnAway();
         }
     }
 
+    private void sweep() {
+        long now = loop.now();
+        List.copyOf(sessions).forEach(session -> session.sweep(now));
+        loop.at(now + SWEEP_EVERY, this::sweep);
+    }
+
+    /** A connection was closed; on any thread. */
+    void closed() {
+        open.decrementAndGet();
+    }
+
     /** Runs the answer when this proxy can serve: the front layer asks for it before it sends clients. */
     void whenReady(Runnable answer) {
         if (untilReady == null) {
--- a/src/main/java/mintstair/front/RequestRules.java
+++ b/src/main/java/mintstair/front/RequestRules.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.regex.Pattern;
 import mintstair.proxy.Dispatcher;
 import mintstair.request.Note;
 import mintstair.request.ProxyRequest;
@@ -10,7 +11,8 @@
 
 /** What every front asks of a request before it is taken in, whatever its protocol; none is passed on else. */
 public final class RequestRules {
-    private static final long LONGEST_WAIT = 86_400_000;
+    private static final int LONGEST_ID = 128;
+    private static final Pattern NUMBER = Pattern.compile("\\d{1,15}");
     private final Dispatcher dispatcher;
 
     public RequestRules(Dispatcher dispatcher) {
@@ -46,6 +48,13 @@
         if (id.isEmpty() || requestClass.isEmpty()) {
             throw new ProtocolException("the comment needs id and c");
         }
+        if (id.length() > LONGEST_ID) {
+            throw new ProtocolException("the id is too long");
+        }
+        if (dispatcher.isOpen(id)) {
+            // It belongs to its first owner; hosts could not tell the two apart.
+            throw new ProtocolException("request " + id + " is open already");
+        }
         if (!dispatcher.classes().knowsClass(requestClass)) {
             throw new ProtocolException("unknown class " + requestClass);
         }
@@ -56,10 +65,11 @@
         if (cluster > Integer.MAX_VALUE || !dispatcher.knowsCluster((int) cluster)) {
             throw new ProtocolException("unknown cluster " + cluster);
         }
-        long wait = patience == null ? dispatcher.classes().deadline(requestClass)
-            : number("the deadline", patience) * 1000;
-        if (wait < 1 || wait > LONGEST_WAIT * 1000) {
-            throw new ProtocolException("the deadline must be 1 to " + LONGEST_WAIT + " ms");
+        // Nothing is held for longer than its class allows, whatever a client says that it would wait.
+        long longest = dispatcher.classes().deadline(requestClass);
+        long wait = patience == null ? longest : Math.min(longest, number("the deadline", patience) * 1000);
+        if (wait < 1) {
+            throw new ProtocolException("the deadline must be 1 ms or more");
         }
         String after = values.get("after");
         return new ProxyRequest(id, requestClass, (int) cluster, session, "1".equals(values.get("r")), wait,
@@ -67,7 +77,7 @@
     }
 
     private static long number(String name, String value) {
-        if (value == null || !value.matches("\\d{1,15}")) {
+        if (value == null || !NUMBER.matcher(value).matches()) {
             throw new ProtocolException("a number is needed for " + name);
         }
         return Long.parseLong(value);
--- a/src/main/java/mintstair/front/pg/PgSession.java
+++ b/src/main/java/mintstair/front/pg/PgSession.java
@@ -19,18 +19,12 @@
     private static final int GSS = 80877104;
 
     private final PgFront front;
-    private final PgFramer framer;
     private boolean started;
     private boolean skipToSync;
 
     PgSession(PgFront front, Connection<?> connection) {
-        this(front, connection, new PgFramer(true));
-    }
-
-    private PgSession(PgFront front, Connection<?> connection, PgFramer framer) {
-        super(front, connection, framer);
+        super(front, connection, new PgFramer.OfClient());
         this.front = front;
-        this.framer = framer;
     }
 
     @Override
@@ -78,7 +72,6 @@
             throw new ProtocolException("unsupported protocol version " + (code >> 16) + "." + (code & 0xffff));
         } else {
             started = true;
-            framer.expectStartup(false);
             write(new PgWriter().message('R', 0).message('S', "server_version", "15.0")
                 .message('S', "client_encoding", "UTF8").message('S', "standard_conforming_strings", "on").ready()
                 .bytes());
--- a/src/main/java/mintstair/front/pg/PgStatement.java
+++ b/src/main/java/mintstair/front/pg/PgStatement.java
@@ -29,6 +29,13 @@
 
     /** Reads a query as a request; throws {@link ProtocolException} where it is none that can be passed on. */
     static ProxyRequest parse(String query, RequestRules rules) {
+        for (int i = 0; i < query.length(); i++) {
+            char c = query.charAt(i);
+            // A host ends its connection on what it cannot read, whoever else's requests are on it.
+            if (c < ' ' && c != '\n' && c != '\r' && c != '\t' || c >= 127) {
+                throw new ProtocolException("a statement is plain text, with values in hexadecimal");
+            }
+        }
         int open = query.lastIndexOf("/*");
         int close = query.indexOf("*/", open + 2);
         if (open < 0 || close < 0) {
--- a/src/main/java/mintstair/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -35,6 +35,7 @@
     private final Counters counters;
     private final Map<Long, Taken> taken = new HashMap<>();
     private final ArrayDeque<Directive> work = new ArrayDeque<>();
+    private final Set<String> openIds = new HashSet<>();
     private final Set<Integer> clusters = new HashSet<>();
     private final Set<String> serving = new HashSet<>();
     private boolean working;
@@ -47,6 +48,7 @@
         final Exchange exchange;
         final Map<Integer, Hosts.Sent> out = new HashMap<>();
         Future<?> guard;
+        boolean closed;
 
         Taken(Exchange exchange) {
             this.exchange = exchange;
@@ -70,6 +72,11 @@
         return clusters.contains(cluster);
     }
 
+    /** Whether a request of this id waits for its final answer. */
+    public boolean isOpen(String id) {
+        return openIds.contains(id);
+    }
+
     /** Has a host let go of what it holds for a client, if it still takes anything; nobody waits for it. */
     public void release(String host, Statement statement) {
         if (serving.contains(host)) {
@@ -83,6 +90,7 @@
         long now = loop.now();
         Taken t = new Taken(new Exchange(++numbers, request, now, client));
         taken.put(numbers, t);
+        openIds.add(request.id());
         counters.taken++;
         t.guard = loop.at(t.exchange.deadline() + OVERDUE, () -> overdue(t));
         carryOut(router.pick(now, numbers, request));
@@ -236,6 +244,10 @@
     }
 
     private void over(Taken t) {
+        if (!t.closed) {
+            t.closed = true;
+            openIds.remove(t.exchange.request().id());
+        }
         t.guard.cancel(false);
         if (t.out.isEmpty()) {
             taken.remove(t.exchange.number());
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -16,6 +16,7 @@
 import mintstair.config.NodeConfig;
 import mintstair.config.OperatorConfig;
 import mintstair.discovery.Watch;
+import mintstair.front.Front;
 import mintstair.front.mongo.MongoFront;
 import mintstair.front.pg.PgFront;
 import mintstair.proxy.Loop;
@@ -31,7 +32,9 @@
     /** After SIGTERM new connections may arrive for this long. */
     private static final long ARRIVALS = 500_000;
     /** Descriptors that are neither a client's nor a host's: the jar, listeners, selectors, discovery. */
-    private static final int OWN_DESCRIPTORS = 64;
+    private static final int OWN_DESCRIPTORS = 40;
+    /** More than this much of one read helps nobody, and each connection may be read into as much. */
+    private static final int READ_SIZE = 16 * 1024;
 
     private final NodeConfig config;
     private final OperatorConfig operator;
@@ -50,7 +53,8 @@
     /** One network thread: what it reads, it hands to the loop. */
     static TCPNIOTransport transport() {
         return TCPNIOTransportBuilder.newInstance().setIOStrategy(SameThreadIOStrategy.getInstance())
-            .setSelectorRunnersCount(1).setTcpNoDelay(true).setReuseAddress(true).build();
+            .setSelectorRunnersCount(1).setTcpNoDelay(true).setReuseAddress(true)
+            .setReadBufferSize(READ_SIZE).build();
     }
 
     /** Starts to serve; returns once the proxy listens. At SIGHUP it reads {@code file} anew. */
@@ -58,12 +62,15 @@
         reloadFrom(file);
         transport.start();
         recorder = operator.record() == null ? null : new PcapRecorder(loop, operator.record());
-        int most = Math.max(16, (config.sockets() - OWN_DESCRIPTORS) / 2 / (operator.mongodb() == null ? 1 : 2));
-        add(new PgProtocol(), most, (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, most))
+        // Clients with requests hold at most a third of the descriptors; some more have none open, or are bad ones.
+        int each = config.sockets() / (operator.mongodb() == null ? 1 : 2);
+        int most = Math.max(8, each * 3 / 8);
+        int hosts = Math.max(16, each - most - Front.slack(most) - OWN_DESCRIPTORS);
+        add(new PgProtocol(), hosts, (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, most))
             .start(config.listen(), config.discovery(), config.known());
         OperatorConfig.Mongo mongodb = operator.mongodb();
         if (mongodb != null) {
-            add(new MongoProtocol(), most,
+            add(new MongoProtocol(), hosts,
                 (dispatcher, counters) -> new MongoFront(loop, dispatcher, transport, counters, most))
                 .start(mongodb.listen(), mongodb.discovery(), mongodb.hosts());
         }
--- a/src/main/java/mintstair/stats/Counters.java
+++ b/src/main/java/mintstair/stats/Counters.java
@@ -17,6 +17,7 @@
     public long malformed;
     public long clientsOpened;
     public long clientsTurnedAway;
+    public long clientsIdledOut;
     public long hostsOpened;
     private final long[] ends = new long[ConnectionEnd.values().length];
 
@@ -41,7 +42,7 @@
             + " failed=" + failed + " abandoned=" + abandoned + " overdue=" + overdue + " malformed=" + malformed
             + " sent=" + sent + " probes=" + probes + " client_connections=" + clientsOpened
             + " clients_turned_away=" + clientsTurnedAway
-            + " host_connections=" + hostsOpened);
+            + " clients_idled_out=" + clientsIdledOut + " host_connections=" + hostsOpened);
         for (ConnectionEnd end : ConnectionEnd.values()) {
             line.append(" ended_").append(end.name().toLowerCase(Locale.ROOT)).append('=')
                 .append(ends[end.ordinal()]);
--- a/src/main/java/mintstair/wire/PgFramer.java
+++ b/src/main/java/mintstair/wire/PgFramer.java
@@ -1,31 +1,46 @@
 package mintstair.wire;
 
-/** PostgreSQL's messages, version 3: a type byte and a length, but for a start-up packet, which has no type. */
-public class PgFramer extends Framer {
+/**
+ * PostgreSQL's messages, version 3: a type byte and a length, but for a start-up packet, which has no type. A type
+ * that nobody may send here, or a length that its type does not have, ends the reading before anything is kept of it.
+ */
+public abstract class PgFramer extends Framer {
     /** A value of 64 KiB in hexadecimal, twice over for its statement. */
     public static final int LONGEST = 256 * 1024;
-    private boolean startup;
+    private static final int LONGEST_STARTUP = 10_000;
+    private static final int LONGEST_OTHER = 8 * 1024;
+    private final String types;
+    private final char large;
 
-    public PgFramer(boolean startup) {
-        this.startup = startup;
-    }
-
-    /** Whether the next message is a start-up packet. */
-    public void expectStartup(boolean expected) {
-        startup = expected;
+    private PgFramer(String types, char large) {
+        this.types = types;
+        this.large = large;
     }
 
     @Override
     protected int length(byte[] b, int at, int n) {
-        int head = startup ? 0 : 1;
-        if (n < head + 4) {
+        if (n < 1) {
             return -1;
         }
-        int length = int32(b, at + head);
-        if (length < (startup ? 8 : 4) || length > (startup ? 10_000 : LONGEST)) {
+        char type = (char) (b[at] & 255);
+        if (types.indexOf(type) < 0) {
+            throw new ProtocolException("unknown message type " + (int) type);
+        }
+        return n < 5 ? -1 : 1 + checked(int32(b, at + 1), 4, type == large ? LONGEST : LONGEST_OTHER);
+    }
+
+    private static int checked(int length, int least, int most) {
+        if (length < least || length > most) {
             throw new ProtocolException("invalid message length " + length);
         }
-        return head + length;
+        return length;
+    }
+
+    /** What a db host answers simple queries with. */
+    public static final class OfHost extends PgFramer {
+        public OfHost() {
+            super("RSKNATDCEIZ", 'D');
+        }
     }
 
     /** Tells by itself when a client's start-up is over: with the first packet that is no request to encrypt. */
@@ -33,16 +48,19 @@
         private boolean over;
 
         public OfClient() {
-            super(true);
+            super("QXPBDECFHSdcfp", 'Q');
         }
 
         @Override
         protected int length(byte[] b, int at, int n) {
-            int length = super.length(b, at, n);
-            if (!over && length > 0 && length <= n) {
-                over = int32(b, at + 4) >> 16 == 3;
-                expectStartup(!over);
+            if (over) {
+                return super.length(b, at, n);
+            }
+            if (n < 4) {
+                return -1;
             }
+            int length = checked(int32(b, at), 8, LONGEST_STARTUP);
+            over = length <= n && int32(b, at + 4) >> 16 == 3;
             return length;
         }
     }
--- a/src/test/java/mintstair/serve/LimitsTest.java
+++ b/src/test/java/mintstair/serve/LimitsTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import mintstair.backend.pg.PgProtocol;
@@ -78,4 +80,85 @@
             assertEquals("empty", next.answer());
         }
     }
+
+    private void assertServes() throws IOException {
+        try (Client.Pg next = new Client.Pg(port)) {
+            next.raw(Client.Pg.query(""));
+            assertEquals("empty", next.answer());
+        }
+    }
+
+    /** Guards against clients that ask once and stay for good: the longest idle makes room for one that asks. */
+    @Test
+    void longestIdleClientMakesRoom() throws IOException {
+        try (Client.Pg first = new Client.Pg(port); Client.Pg second = new Client.Pg(port)) {
+            long end = System.nanoTime() + 20_000_000_000L;
+            String answer = "none";
+            while (!answer.equals("empty") && System.nanoTime() < end) {
+                try (Client.Pg next = new Client.Pg(port, true)) {
+                    next.raw(Client.Pg.startup());
+                    next.raw(Client.Pg.query(""));
+                    answer = next.answer();
+                    answer = answer.equals("nothing") ? next.answer() : answer;
+                } catch (IOException e) {
+                    // Turned away while its words were on the way.
+                }
+            }
+            assertEquals("empty", answer);
+            assertEquals(-1, first.in.read(), "the first has been idle for longest");
+            second.raw(Client.Pg.query(""));
+            assertEquals("empty", second.answer());
+        }
+    }
+
+    /** Guards against floods of connections that say nothing: they give way at once, and end by themselves. */
+    @Test
+    void silentConnectionsGiveWayAndEndByADeadline() throws IOException {
+        try (Client.Pg first = new Client.Pg(port, true); Client.Pg second = new Client.Pg(port, true)) {
+            assertServes();
+            assertEquals("refused 0", first.answer());
+            assertEquals("failed", second.answer());
+            assertEquals(-1, second.in.read());
+        }
+    }
+
+    /** Half a message, a length that nothing can have, a type that nobody sends, hundreds of commands: one error each. */
+    @Test
+    void whatCannotBeServedEndsWithOneError() throws IOException {
+        byte[] half = Client.Pg.query("SELECT");
+        for (byte[] words : new byte[][] {Arrays.copyOf(half, half.length - 1), {'Q', -1, -1, -1, -1},
+            {'Q', 0x7f, -1, -1, -1}, {'@', 0, 0, 0, 4}, {'Q', 0, 0, 0, 3}}) {
+            try (Client.Pg client = new Client.Pg(port)) {
+                client.raw(words);
+                assertEquals("failed", client.answer(), Arrays.toString(words));
+                assertEquals(-1, client.in.read());
+            }
+        }
+        try (Client.Pg client = new Client.Pg(port)) {
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            for (int i = 0; i < 300; i++) {
+                all.writeBytes(Client.Pg.query(Client.Pg.words(true, "id=w" + i + ",c=write,cluster=1", 3000)));
+            }
+            client.raw(all.toByteArray());
+            assertEquals("failed", client.answer());
+            assertEquals("08P01", client.code);
+            assertEquals(-1, client.in.read());
+        }
+        assertServes();
+    }
+
+    /** Guards against answers that go to the wrong client: the id of an open request stays with its owner. */
+    @Test
+    void idOfAnOpenRequestBelongsToItsFirstOwner() throws IOException {
+        try (Client.Pg owner = new Client.Pg(port); Client.Pg other = new Client.Pg(port)) {
+            owner.send(true, "id=mine,c=write,cluster=1", 1000);
+            do {
+                other.raw(Client.Pg.query("SHOW counters"));
+            } while (!other.answer().contains("taken=1 "));
+            String answer = other.ask(true, "id=mine,c=write,cluster=1", 1000);
+            assertEquals("failed", answer);
+            assertEquals("08P01", other.code);
+            assertTrue(owner.answer().startsWith("refused "));
+        }
+    }
 }
--- a/src/test/java/mintstair/wire/ParsersTest.java
+++ b/src/test/java/mintstair/wire/ParsersTest.java
@@ -63,7 +63,7 @@
     @Property(seed = "1", tries = 200)
     void cutsMakeNoDifference(@ForAll long seed, @ForAll @IntRange(min = 1, max = 60) int times) {
         Random random = new Random(seed);
-        List<byte[]> pg = cut(new PgFramer(false), repeat(ROW, times), random);
+        List<byte[]> pg = cut(new PgFramer.OfHost(), repeat(ROW, times), random);
         assertEquals(6 * times, pg.size());
         PgProtocol protocol = new PgProtocol();
         var parser = protocol.newParser();
@@ -92,8 +92,8 @@
             damaged[random.nextInt(damaged.length)] = (byte) random.nextInt();
         }
         for (byte[] bytes : new byte[][] {garbage, damaged}) {
-            tolerant(() -> cut(new PgFramer(random.nextBoolean()), bytes, random));
-            tolerant(() -> cut(new PgFramer(false), bytes, random).forEach(new PgProtocol().newParser()::take));
+            tolerant(() -> cut(random.nextBoolean() ? new PgFramer.OfClient() : new PgFramer.OfHost(), bytes, random));
+            tolerant(() -> cut(new PgFramer.OfHost(), bytes, random).forEach(new PgProtocol().newParser()::take));
             tolerant(() -> cut(new MongoFramer(), bytes, random).forEach(new MongoProtocol().newParser()::take));
             if (bytes.length >= 16) {
                 tolerant(() -> MongoMessage.parse(bytes));
@@ -126,8 +126,8 @@
 
     @Example
     void oversizedMessagesAreRefusedBeforeTheyAreHeld() {
-        Framer pg = new PgFramer(false);
-        pg.feed(ByteBuffer.allocate(5).put((byte) 'Q').putInt(PgFramer.LONGEST + 1).flip());
+        Framer pg = new PgFramer.OfHost();
+        pg.feed(ByteBuffer.allocate(5).put((byte) 'D').putInt(PgFramer.LONGEST + 1).flip());
         assertThrows(ProtocolException.class, pg::next);
         Framer mongo = new MongoFramer();
         mongo.feed(ByteBuffer.allocate(16).putInt(Integer.reverseBytes(MongoFramer.LONGEST + 1)).rewind());
