Check hosts' answers whole before they go on; drop a connection that brings more

Checked: the log shows noise that was caught, and lengths within a row that were not looked at; a report of 'nan' ended the next call on that connection, as it was read after the connection had been given on.

At fault: PgProtocol.PgParser took messages in any order and copied rows unread; HostConnection.replied gave a connection on at once, whatever stood behind the reply; reports were parsed there too.

Now each message must be in its place and whole, each type has its longest length, numbers are digits; a MongoDB reply must refer to what was asked. A connection rests 5 ms after a reply and is asked before its next call whether anything came. SERVED_AND_MORE and REPORT_UNREADABLE name the new ends. Pools of hosts that are gone are let go, connections to an address that a host has left are not used again, and for want of descriptors an idle connection of another host is closed.

--- a/src/main/java/mintstair/backend/Backends.java
+++ b/src/main/java/mintstair/backend/Backends.java
@@ -1,5 +1,6 @@
 package mintstair.backend;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -51,6 +52,8 @@
 
     /** A connection left idle to its host's limit would be closed there, at a time that nobody here knows. */
     private void sweep() {
+        // Hosts come and go under new names all day long.
+        pools.values().removeIf(pool -> pool.isOver(loop.now()));
         for (HostPool pool : pools.values()) {
             pool.closeIdle(loop.now() - idleLimit);
             pool.keepReady();
@@ -94,7 +97,12 @@
         return call;
     }
 
-    boolean mayOpen() {
+    /** Whether there is a descriptor for one more; for a call that waits, another host's idle one is given up. */
+    boolean mayOpen(boolean needed) {
+        if (open >= most && needed) {
+            pools.values().stream().min(Comparator.comparingLong(HostPool::idlestSince))
+                .filter(pool -> pool.idlestSince() < Long.MAX_VALUE).ifPresent(HostPool::closeIdlest);
+        }
         if (open >= most) {
             return false;
         }
--- a/src/main/java/mintstair/backend/HostConnection.java
+++ b/src/main/java/mintstair/backend/HostConnection.java
@@ -1,13 +1,15 @@
 package mintstair.backend;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.memory.Buffers;
-import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.NIOConnection;
 import mintstair.request.ConnectionEnd;
 import mintstair.request.Reply;
 import mintstair.wire.Framer;
@@ -16,7 +18,10 @@
 
 /** One connection to a db host: it greets, then carries one call at a time. All but reading is on the loop. */
 final class HostConnection implements MessageFilter.Listener {
-    private enum State { OPENING, IDLE, BUSY, CLOSED }
+    private enum State { OPENING, RESTING, IDLE, BUSY, CLOSED }
+
+    /** After its reply a connection waits for so long: bytes behind the reply must not meet the next call. */
+    private static final long REST = 5_000;
 
     private final HostPool pool;
     private final Backends backends;
@@ -26,6 +31,9 @@
     private Connection<?> connection;
     private Call call;
     private volatile boolean written;
+    private volatile int readCount;
+    private int takenCount;
+    private InetSocketAddress address;
     long idleSince;
 
     HostConnection(HostPool pool, Backends backends) {
@@ -36,6 +44,7 @@
     }
 
     void open(InetSocketAddress to) {
+        address = to;
         backends.connector.connect(to, new EmptyCompletionHandler<Connection>() {
             @Override
             public void completed(Connection made) {
@@ -63,7 +72,31 @@
             made.closeSilently();
             return;
         }
-        write(backends.protocol.greeting());
+        ask(backends.protocol.greeting());
+    }
+
+    private void ask(byte[] words) {
+        parser.asked(words);
+        write(words);
+    }
+
+    boolean leadsTo(InetSocketAddress to) {
+        return address.equals(to);
+    }
+
+    /**
+     * Whether nothing has come, or the end, since its last reply: what is there now would be taken for the next one's.
+     * The socket itself is asked, as the network thread may not have come round to it.
+     */
+    boolean isClean() {
+        if (readCount != takenCount) {
+            return false;
+        }
+        try {
+            return ((SocketChannel) ((NIOConnection) connection).getChannel()).read(ByteBuffer.allocate(1)) == 0;
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     /** Sends a call; it is the only one until its reply is whole. */
@@ -72,7 +105,7 @@
         call = next;
         next.connection = this;
         written = false;
-        write(next.words.apply(Math.max(1, (next.until - now) / 1000)));
+        ask(next.words.apply(Math.max(1, (next.until - now) / 1000)));
     }
 
     @SuppressWarnings({"unchecked", "rawtypes"})
@@ -86,10 +119,6 @@
         });
     }
 
-    boolean isIdle() {
-        return state == State.IDLE;
-    }
-
     void close() {
         state = State.CLOSED;
         if (connection != null) {
@@ -106,6 +135,7 @@
 
     @Override
     public void read(ByteBuffer bytes) {
+        readCount++;
         backends.loop.execute(() -> take(bytes));
     }
 
@@ -115,41 +145,70 @@
     }
 
     private void take(ByteBuffer bytes) {
+        takenCount++;
         if (state == State.CLOSED) {
             return;
         }
+        if (state == State.RESTING || state == State.IDLE) {
+            ended(ConnectionEnd.GARBLED);
+            return;
+        }
         try {
             framer.feed(bytes);
-            for (byte[] m = framer.next(); m != null && state != State.CLOSED; m = framer.next()) {
-                Reply reply = parser.take(m);
-                if (reply != null) {
-                    replied(reply);
-                }
+            Reply reply = null;
+            byte[] message = framer.next();
+            while (message != null) {
+                reply = parser.take(message);
+                message = reply == null ? framer.next() : null;
+            }
+            if (reply != null) {
+                replied(reply, framer.pending() > 0);
             }
         } catch (ProtocolException e) {
-            System.err.println("host " + pool.name + ": " + e.getMessage());
             ended(ConnectionEnd.GARBLED);
         }
     }
 
-    private void replied(Reply reply) {
+    private void replied(Reply reply, boolean more) {
         boolean greeted = state == State.OPENING;
-        Call over = call;
-        call = null;
-        if (state == State.IDLE || greeted && reply.end() == ConnectionEnd.TURNED_AWAY) {
-            ended(ConnectionEnd.TURNED_AWAY);
+        if (greeted && (more || reply.end() != ConnectionEnd.SERVED)) {
+            ended(reply.end() == ConnectionEnd.TURNED_AWAY ? reply.end() : ConnectionEnd.GARBLED);
             return;
         }
-        state = State.IDLE;
+        Call over = call;
+        call = null;
+        Reply heard = over != null && over.probe && reply.end() == ConnectionEnd.SERVED ? report(reply) : reply;
         idleSince = backends.loop.now();
-        if (greeted) {
+        if (more || heard.end() == ConnectionEnd.REPORT_UNREADABLE) {
+            // The answer stands, but what came behind it must not be taken for the answer to the next call.
+            close();
+            pool.closed(this);
+            heard = heard.end() == ConnectionEnd.SERVED
+                ? new Reply(ConnectionEnd.SERVED_AND_MORE, heard.body(), heard.note()) : heard;
+        } else if (greeted) {
+            state = State.IDLE;
             pool.opened(this);
         } else {
-            pool.freed(this);
+            state = State.RESTING;
+            backends.loop.at(idleSince + REST, this::rested);
         }
         if (over != null) {
-            over.end(over.probe && reply.end() == ConnectionEnd.SERVED
-                ? new Reply(reply.end(), null, backends.protocol.report(reply.body())) : reply);
+            over.end(heard);
+        }
+    }
+
+    private void rested() {
+        if (state == State.RESTING) {
+            state = State.IDLE;
+            pool.freed(this);
+        }
+    }
+
+    private Reply report(Reply reply) {
+        try {
+            return new Reply(reply.end(), null, backends.protocol.report(reply.body()));
+        } catch (ProtocolException e) {
+            return Reply.of(ConnectionEnd.REPORT_UNREADABLE);
         }
     }
 
--- a/src/main/java/mintstair/backend/HostPool.java
+++ b/src/main/java/mintstair/backend/HostPool.java
@@ -16,6 +16,8 @@
     /** Kept ready: a request that has to wait for a handshake first comes late by that much. */
     private static final int READY = 2;
     private static final long REST = 1_000_000;
+    /** What is known of a host that is gone: where the list is only advice, it may still be sent to. */
+    private static final long KEPT = 60_000_000;
 
     final String name;
     private final Backends backends;
@@ -26,6 +28,7 @@
     private int opening;
     private long restUntil;
     private boolean serving;
+    private long goneSince;
 
     HostPool(String name, Backends backends) {
         this.name = name;
@@ -37,6 +40,7 @@
         InetSocketAddress now = new InetSocketAddress(entry.endpoint().substring(0, colon),
             Integer.parseInt(entry.endpoint().substring(colon + 1)));
         serving = entry.state() == HostList.State.SERVING;
+        goneSince = backends.loop.now();
         if (!now.equals(address) || !serving) {
             closeIdle(Long.MAX_VALUE);
         }
@@ -50,6 +54,7 @@
     }
 
     void gone() {
+        goneSince = serving ? backends.loop.now() : goneSince;
         serving = false;
         closeIdle(Long.MAX_VALUE);
     }
@@ -57,12 +62,31 @@
     /** Closes those that have had no call since {@code before}. */
     void closeIdle(long before) {
         while (!idle.isEmpty() && idle.peekLast().idleSince < before) {
-            HostConnection c = idle.pollLast();
-            c.close();
-            closed(c);
+            drop(idle.pollLast());
         }
     }
 
+    private void drop(HostConnection c) {
+        c.close();
+        if (all.remove(c)) {
+            backends.closed();
+        }
+    }
+
+    /** Since when the connection that is idle for longest has been, or never where none is to spare. */
+    long idlestSince() {
+        return idle.isEmpty() ? Long.MAX_VALUE : idle.peekLast().idleSince;
+    }
+
+    void closeIdlest() {
+        drop(idle.pollLast());
+    }
+
+    /** Whether nothing is left of a host that has been gone for long. */
+    boolean isOver(long now) {
+        return !serving && all.isEmpty() && waiting.isEmpty() && now - goneSince > KEPT;
+    }
+
     void send(Call call) {
         long now = backends.loop.now();
         call.pool = this;
@@ -88,10 +112,15 @@
 
     private void serve(long now) {
         while (!waiting.isEmpty() && !idle.isEmpty()) {
-            idle.pollFirst().send(waiting.pollFirst(), now);
+            HostConnection c = idle.pollFirst();
+            if (c.isClean()) {
+                c.send(waiting.pollFirst(), now);
+            } else {
+                drop(c);
+            }
         }
         int wanted = waiting.size() + (serving && now >= restUntil ? Math.max(0, READY - idle.size()) : 0);
-        while (opening < wanted && all.size() < MOST && backends.mayOpen()) {
+        while (opening < wanted && all.size() < MOST && backends.mayOpen(!waiting.isEmpty())) {
             opening++;
             HostConnection c = new HostConnection(this, backends);
             all.add(c);
@@ -105,7 +134,11 @@
     }
 
     void freed(HostConnection c) {
-        idle.addFirst(c);
+        if (c.leadsTo(address) && (serving || !waiting.isEmpty())) {
+            idle.addFirst(c);
+        } else {
+            drop(c);
+        }
         serve(backends.loop.now());
     }
 
--- a/src/main/java/mintstair/backend/Protocol.java
+++ b/src/main/java/mintstair/backend/Protocol.java
@@ -3,6 +3,7 @@
 import mintstair.request.Note;
 import mintstair.request.Reply;
 import mintstair.wire.Framer;
+import mintstair.wire.ProtocolException;
 
 /** What a pool needs to know of the protocol that its hosts speak. */
 public interface Protocol {
@@ -12,7 +13,7 @@
     /** The question for a host's report. */
     byte[] probe();
 
-    /** What a host says of itself in its answer to a probe. */
+    /** What a host says of itself in its answer to a probe; throws {@link ProtocolException} where that is no report. */
     Note report(byte[] body);
 
     /** What one connection needs to read its replies. */
@@ -20,8 +21,11 @@
 
     Parser newParser();
 
-    /** Reads one connection's replies; throws {@link mintstair.wire.ProtocolException} on what is none. */
+    /** Reads one connection's replies; throws {@link ProtocolException} on what is none, however it came about. */
     interface Parser {
+        /** These words were sent; what is taken in from here on must be the reply to them. */
+        default void asked(byte[] words) { }
+
         /** Takes in a message; gives the reply that it completes, or null. */
         Reply take(byte[] message);
 
--- a/src/main/java/mintstair/backend/mongo/MongoProtocol.java
+++ b/src/main/java/mintstair/backend/mongo/MongoProtocol.java
@@ -49,10 +49,18 @@
     @Override
     public Parser newParser() {
         return new Parser() {
+            private int asked;
+
+            @Override
+            public void asked(byte[] words) {
+                asked = MongoMessage.requestId(words);
+            }
+
             @Override
             public Reply take(byte[] message) {
                 MongoMessage m = MongoMessage.parse(message);
-                if (m.opCode() != MongoMessage.OP_MSG || (m.flags() & MongoMessage.MORE_TO_COME) != 0) {
+                if (m.opCode() != MongoMessage.OP_MSG || (m.flags() & MongoMessage.MORE_TO_COME) != 0
+                        || m.responseTo() != asked || !m.body().isNumber("ok")) {
                     throw new ProtocolException("not the one reply that was asked for");
                 }
                 return new Reply(end(m.body()), MongoMessage.bytes(m.body()), note(m.body()));
@@ -67,7 +75,11 @@
 
     @Override
     public Note report(byte[] body) {
-        return note(MongoMessage.document(body));
+        Note note = note(MongoMessage.document(body));
+        if (note.role() == HostRole.UNTOLD) {
+            throw new ProtocolException("hello does not tell the role");
+        }
+        return note;
     }
 
     /** An error that is the statement's own fault is the host's answer: no other host would give a better. */
--- a/src/main/java/mintstair/backend/pg/PgProtocol.java
+++ b/src/main/java/mintstair/backend/pg/PgProtocol.java
@@ -3,6 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import mintstair.backend.Protocol;
 import mintstair.request.ConnectionEnd;
 import mintstair.request.HostRole;
@@ -17,6 +19,10 @@
 public final class PgProtocol implements Protocol {
     private static final byte[] GREETING = new PgWriter()
         .packet(196608, "user", "web", "database", "orders", "").bytes();
+    /** No more digits than a time has: what is larger is no position. */
+    private static final String DIGITS = "\\d{1,14}(?:\\.\\d{1,9})?";
+    private static final Pattern NUMBER = Pattern.compile(DIGITS);
+    private static final Pattern FIELD = Pattern.compile("(\\w{1,32})=(" + DIGITS + ")");
     private static final byte[] PROBE = new PgWriter().message('Q', "SHOW vitals").bytes();
 
     @Override
@@ -44,69 +50,77 @@
     public Note report(byte[] body) {
         HostRole role = HostRole.UNTOLD;
         long position = Note.UNKNOWN;
-        for (String field : row(body).split(",")) {
-            if (field.startsWith("x0=")) {
-                position = Math.round(PgParser.number(field.substring(3)) * 1e6);
-            } else if (field.startsWith("x1=")) {
-                role = PgParser.number(field.substring(3)) == 1 ? HostRole.PRIMARY : HostRole.REPLICA;
+        for (String field : row(body).split(",", -1)) {
+            Matcher m = FIELD.matcher(field);
+            if (!m.matches()) {
+                throw new ProtocolException("a report that cannot be read");
+            }
+            if (m.group(1).equals("x0")) {
+                position = Math.round(Double.parseDouble(m.group(2)) * 1e6);
+            } else if (m.group(1).equals("x1")) {
+                role = Double.parseDouble(m.group(2)) == 1 ? HostRole.PRIMARY : HostRole.REPLICA;
             }
         }
         return new Note(role, position);
     }
 
-    /** The one column of the row among a reply's messages; what follows it is no part of the report. */
+    /** The one column of the row in a reply that was checked: it stands behind the description of its row. */
     private static String row(byte[] body) {
-        ByteBuffer in = ByteBuffer.wrap(body);
-        while (in.remaining() >= 5) {
-            byte type = in.get();
-            int length = in.getInt(in.position());
-            if (type == 'D' && length >= 10) {
-                int start = in.position() + 10;
-                return PgParser.text(body, start, Math.min(body.length, start + Math.max(0, in.getInt(start - 4))));
-            }
-            in.position(Math.min(body.length, in.position() + length));
-        }
-        return "";
+        int at = 1 + ByteBuffer.wrap(body).getInt(1);
+        int length = ByteBuffer.wrap(body).getInt(at + 7);
+        return new String(body, at + 11, length, StandardCharsets.UTF_8);
     }
 
-    /** Collects the messages of a reply until the host is ready again. */
+    /**
+     * Collects the messages of a reply until the host is ready again. A value goes on to a client only if every message
+     * of its reply was in its place and whole: hosts have been seen to send noise, and lengths that do not fit.
+     */
     static final class PgParser implements Parser {
+        /** What a reply must bring next; an error may take the place of any of these. */
+        private enum Due { DESCRIPTION, ROW, COMPLETION, READY }
+
+        private static final int READY_LENGTH = 6;
         private ByteArrayOutputStream body = new ByteArrayOutputStream(256);
+        private Due due = Due.DESCRIPTION;
+        private boolean greeting = true;
         private ConnectionEnd end;
         private HostRole role = HostRole.UNTOLD;
         private long position = Note.UNKNOWN;
-        private boolean row;
 
         @Override
         public Reply take(byte[] m) {
             switch (m[0]) {
                 case 'R' -> {
-                    if (m.length < 9 || m[5] != 0 || m[6] != 0 || m[7] != 0 || m[8] != 0) {
-                        throw new ProtocolException("the host asks for a password");
-                    }
+                    check(greeting && m.length == 9 && int32(m, 5) == 0, "the host asks for a password");
+                    due = Due.READY;
+                    end = ConnectionEnd.SERVED;
                 }
                 case 'S' -> parameter(m);
-                case 'T' -> body.writeBytes(m);
-                case 'D' -> {
-                    row = true;
-                    body.writeBytes(m);
-                }
+                case 'K' -> check(greeting && m.length == 13, "a key out of place");
+                case 'N', 'A' -> { }
+                case 'T' -> next(m, Due.DESCRIPTION, Due.ROW, isDescription(m));
+                case 'D' -> next(m, Due.ROW, Due.COMPLETION, isRow(m));
                 case 'C' -> {
-                    body.writeBytes(m);
-                    end = end == null && row ? ConnectionEnd.SERVED : end;
+                    next(m, Due.COMPLETION, Due.READY, zero(m, 5) == m.length - 1);
+                    end = ConnectionEnd.SERVED;
+                }
+                case 'E' -> {
+                    check(due != Due.READY || greeting, "an error out of place");
+                    end = error(m);
+                    due = Due.READY;
                 }
-                case 'E' -> end = error(m);
                 case 'Z' -> {
+                    check(due == Due.READY && m.length == READY_LENGTH && m[5] == 'I', "not ready for the next");
                     Reply reply = atEnd();
                     body = new ByteArrayOutputStream(256);
+                    due = Due.DESCRIPTION;
+                    greeting = false;
                     end = null;
-                    row = false;
                     role = HostRole.UNTOLD;
                     position = Note.UNKNOWN;
-                    return reply == null ? Reply.of(ConnectionEnd.HOST_ERROR) : reply;
+                    return reply;
                 }
-                case 'K', 'N', 'I', 'A' -> { }
-                default -> throw new ProtocolException("unexpected message " + (char) m[0]);
+                default -> throw new ProtocolException("unexpected message");
             }
             return null;
         }
@@ -117,41 +131,67 @@
                 new Note(role, position));
         }
 
+        private void next(byte[] m, Due wanted, Due then, boolean whole) {
+            check(due == wanted && whole, "an answer that is not whole");
+            due = then;
+            body.writeBytes(m);
+        }
+
+        /** One column: its name, then 18 bytes, of which the last two say whether its values are text or binary. */
+        private static boolean isDescription(byte[] m) {
+            return m.length >= 7 && int16(m, 5) == 1 && zero(m, 7) == m.length - 19 && int16(m, m.length - 2) >>> 1 == 0;
+        }
+
+        /** One column, whose length is that of the message's rest. */
+        private static boolean isRow(byte[] m) {
+            return m.length >= 11 && int16(m, 5) == 1 && int32(m, 7) == m.length - 11;
+        }
+
         private void parameter(byte[] m) {
             int split = zero(m, 5);
+            int stop = zero(m, split + 1);
+            check(stop == m.length - 1, "a parameter that is not whole");
             String name = text(m, 5, split);
-            String value = text(m, split + 1, zero(m, split + 1));
+            String value = text(m, split + 1, stop);
             if (name.equals("rank")) {
                 role = value.equals("source") ? HostRole.PRIMARY
                     : value.equals("copy") ? HostRole.REPLICA : HostRole.UNTOLD;
             } else if (name.equals("as_of")) {
-                position = Math.round(number(value) * 1000);
+                check(NUMBER.matcher(value).matches(), "a position that is no number");
+                position = Math.round(Double.parseDouble(value) * 1000);
             }
         }
 
         private static ConnectionEnd error(byte[] m) {
-            for (int at = 5; at < m.length && m[at] != 0;) {
+            String code = null;
+            int at = 5;
+            while (at < m.length && m[at] != 0) {
                 int stop = zero(m, at + 1);
-                if (m[at] == 'C') {
-                    return switch (text(m, at + 1, stop)) {
-                        case "25006", "72000" -> ConnectionEnd.MISS;
-                        case "53300" -> ConnectionEnd.TURNED_AWAY;
-                        default -> ConnectionEnd.HOST_ERROR;
-                    };
-                }
+                code = m[at] == 'C' ? text(m, at + 1, stop) : code;
                 at = stop + 1;
             }
-            return ConnectionEnd.HOST_ERROR;
+            check(at == m.length - 1 && code != null, "an error that is not whole");
+            return switch (code) {
+                case "25006", "72000" -> ConnectionEnd.MISS;
+                case "53300" -> ConnectionEnd.TURNED_AWAY;
+                default -> ConnectionEnd.HOST_ERROR;
+            };
         }
 
-        private static double number(String text) {
-            try {
-                return Double.parseDouble(text);
-            } catch (NumberFormatException e) {
-                throw new ProtocolException("not a number: " + text);
+        private static void check(boolean holds, String otherwise) {
+            if (!holds) {
+                throw new ProtocolException(otherwise);
             }
         }
 
+        private static int int16(byte[] m, int at) {
+            return (m[at] & 255) << 8 | m[at + 1] & 255;
+        }
+
+        private static int int32(byte[] m, int at) {
+            return int16(m, at) << 16 | int16(m, at + 2);
+        }
+
         private static int zero(byte[] m, int from) {
             for (int i = from; i < m.length; i++) {
                 if (m[i] == 0) {
--- a/src/main/java/mintstair/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -224,7 +224,7 @@
     private void attemptEnded(Taken t, Directive.Send d, long sentAt, Reply reply) {
         t.out.remove(d.attempt());
         counters.ended(reply.end());
-        if (reply.end() == ConnectionEnd.SERVED) {
+        if (reply.end().isServed()) {
             answer(t, new Answer.Served(d.host(), reply.body()));
         }
         long now = loop.now();
--- a/src/main/java/mintstair/routing/RequestRouter.java
+++ b/src/main/java/mintstair/routing/RequestRouter.java
@@ -164,9 +164,9 @@
     /** The one place that says what each end of a connection means to the decisions. */
     static Ending ending(ConnectionEnd end) {
         return switch (end) {
-            case SERVED -> Ending.OK;
+            case SERVED, SERVED_AND_MORE -> Ending.OK;
             case MISS -> Ending.MISS;
-            case HOST_ERROR -> Ending.ERROR;
+            case HOST_ERROR, REPORT_UNREADABLE -> Ending.ERROR;
             case TURNED_AWAY -> Ending.FULL;
             case CONNECT_FAILED, CONNECT_TIMEOUT, BROKEN_BEFORE_WRITTEN -> Ending.NO_ROUTE;
             case BROKEN_AFTER_WRITTEN, GARBLED -> Ending.RESET;
--- a/src/main/java/mintstair/wire/MongoMessage.java
+++ b/src/main/java/mintstair/wire/MongoMessage.java
@@ -128,6 +128,11 @@
         return new String(in.array(), start, in.position() - start - 1, StandardCharsets.UTF_8);
     }
 
+    /** The id by which the reply to these words refers to them. */
+    public static int requestId(byte[] words) {
+        return ByteBuffer.wrap(words).order(ByteOrder.LITTLE_ENDIAN).getInt(4);
+    }
+
     /** The words of an OP_MSG with this body, as a request or as the reply to one. */
     public static byte[] opMsg(BsonDocument body, int responseTo) {
         byte[] document = bytes(body);
--- a/src/test/java/mintstair/backend/BackendsTest.java
+++ b/src/test/java/mintstair/backend/BackendsTest.java
@@ -5,12 +5,14 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import mintstair.backend.pg.PgProtocol;
+import mintstair.program.Program;
 import mintstair.proxy.Hosts;
 import mintstair.proxy.Loop;
 import mintstair.request.ConnectionEnd;
@@ -95,6 +97,49 @@
         assertEquals(ConnectionEnd.CALLED_OFF, off.get(20, TimeUnit.SECONDS).end());
     }
 
+    /** Guards against serving what no host made: noise, lengths that do not fit, and a value that never ends. */
+    @Test
+    void spoiltAnswersFailTheirAttemptAndNoOther() throws Exception {
+        host.script.put("noise", Act.NOISE);
+        host.script.put("torn", Act.TORN);
+        host.script.put("huge", Act.HUGE);
+        for (String spoilt : new String[] {"noise", "torn", "huge"}) {
+            assertEquals(ConnectionEnd.GARBLED, end("speaks", spoilt, 9 * SECOND, 9 * SECOND), spoilt);
+            assertEquals(ConnectionEnd.SERVED, end("speaks", "after " + spoilt, 9 * SECOND, 9 * SECOND));
+        }
+        host.script.put("vitals", Act.NOISE);
+        CompletableFuture<Reply> report = new CompletableFuture<>();
+        loop.execute(() -> backends.probe("speaks", report::complete));
+        assertEquals(ConnectionEnd.REPORT_UNREADABLE, report.get(20, TimeUnit.SECONDS).end());
+    }
+
+    /** Guards against a second copy of an answer, right behind it or later, that is taken for the next call's. */
+    @Test
+    void bytesBehindAnAnswerDoNotReachTheNextCall() throws Exception {
+        for (int i = 0; i < 5; i++) {
+            host.script.put("trailed" + i, Act.TRAILED);
+            assertServed("trailed" + i);
+            host.trail.release();
+            host.script.put("twice" + i, Act.TWICE);
+            assertServed("twice" + i);
+            assertServed("next" + i);
+        }
+    }
+
+    private void assertServed(String id) throws Exception {
+        Reply reply = send("speaks", id, 9 * SECOND, 9 * SECOND, new Hosts.Sent[1]).get(20, TimeUnit.SECONDS);
+        assertEquals(true, reply.end().isServed());
+        assertEquals(true, new String(reply.body(), StandardCharsets.UTF_8).contains(id), id);
+    }
+
+    /** Guards against growth over a long day: of a host that is gone nothing is kept, nor of one listed elsewhere. */
+    @Test
+    void connectionsOfAHostThatIsGoneAreClosed() throws Exception {
+        assertServed("before");
+        loop.execute(() -> backends.listed(new HostList(2, true, List.of())));
+        Program.await(() -> host.open() == 0, "the end of its connections");
+    }
+
     /** Guards against a read judged recent enough and sent long after, when a connection took its time. */
     @Test
     void whatCannotBeWrittenInTimeIsNotSent() throws Exception {
--- a/src/test/java/mintstair/standin/PgHost.java
+++ b/src/test/java/mintstair/standin/PgHost.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Semaphore;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import mintstair.wire.PgWriter;
@@ -12,6 +13,9 @@
 public final class PgHost extends StandInHost {
     private static final Pattern ID = Pattern.compile("id=([^,]*),");
 
+    /** Lets the bytes behind an answer go that TRAILED asks for. */
+    public final Semaphore trail = new Semaphore(0);
+
     public PgHost(String name, boolean primary, long positionMillis) throws IOException {
         super(name, primary, positionMillis);
     }
@@ -25,7 +29,7 @@
             String text = new String(query, 0, query.length - 1, StandardCharsets.UTF_8);
             Matcher id = ID.matcher(text);
             if (text.equals("SHOW vitals")) {
-                String vitals = "inflight=0,util=0.1,x0=" + positionMillis / 1e3 + ",x1=" + (primary ? 1 : 0);
+                String vitals = script.get("vitals") == Act.NOISE ? "inflight=%%%,x0=nan,x1=q" : "inflight=0,util=0.1,x0=" + positionMillis / 1e3 + ",x1=" + (primary ? 1 : 0);
                 out.write(row(vitals).ready().bytes());
                 continue;
             }
@@ -36,14 +40,29 @@
             if (act == Act.SILENT) {
                 continue;
             }
+            if (act == Act.NOISE || act == Act.HUGE) {
+                // The connection stays open, and is of no further use.
+                out.write(act == Act.NOISE ? "q\0?%%%".repeat(9).getBytes(StandardCharsets.UTF_8)
+                    : new byte[] {'D', -1, -1, -1, -16, 0, 1, -1, -1, -1, 0, 7, 7, 7});
+                continue;
+            }
             PgWriter words = switch (act) {
+                case TORN -> row(id.group(1)).message('D', '\0', '\1', 99, "short");
                 case MISS -> error("25006");
                 case ERROR -> error("XX000");
                 case FULL -> error("53300");
                 default -> row(id.group(1));
             };
-            out.write(words.message('S', "rank", primary ? "source" : "copy")
-                .message('S', "as_of", Long.toString(positionMillis)).ready().bytes());
+            byte[] answer = words.message('S', "rank", primary ? "source" : "copy")
+                .message('S', "as_of", Long.toString(positionMillis)).ready().bytes();
+            out.write(answer);
+            if (act == Act.TWICE) {
+                out.write(answer);
+            }
+            if (act == Act.TRAILED) {
+                trail.acquireUninterruptibly();
+                out.write(answer);
+            }
         }
     }
 
--- a/src/test/java/mintstair/standin/StandInHost.java
+++ b/src/test/java/mintstair/standin/StandInHost.java
@@ -13,12 +13,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 /** A db host of either protocol: it answers at once, or as its script says for a request's id. */
 public abstract class StandInHost implements AutoCloseable {
     /** What a host does with a request. */
-    public enum Act { SERVE, MISS, ERROR, FULL, BREAK, SILENT }
+    public enum Act { SERVE, MISS, ERROR, FULL, BREAK, SILENT, NOISE, TORN, HUGE, TWICE, TRAILED }
 
     public final String name;
     public final List<String> seen = Collections.synchronizedList(new ArrayList<>());
@@ -27,6 +28,7 @@
     public volatile long positionMillis;
     /** What sees each request first, in the order of arrival at all hosts that share it. */
     public Consumer<String> witness = line -> { };
+    private final AtomicInteger open = new AtomicInteger();
     private final ServerSocket server;
     private final Set<Socket> sockets = Collections.synchronizedSet(new HashSet<>());
 
@@ -38,6 +40,11 @@
         daemon(this::accept);
     }
 
+    /** How many connections to it are open. */
+    public final int open() {
+        return open.get();
+    }
+
     public final int port() {
         return server.getLocalPort();
     }
@@ -65,10 +72,13 @@
                 socket.setTcpNoDelay(true);
                 sockets.add(socket);
                 daemon(() -> {
+                    open.incrementAndGet();
                     try (socket) {
                         serve(new DataInputStream(socket.getInputStream()), socket.getOutputStream());
                     } catch (IOException e) {
                         // The proxy went away, or the script ended the connection.
+                    } finally {
+                        open.decrementAndGet();
                     }
                 });
             } catch (IOException e) {
--- a/src/test/java/mintstair/wire/ParsersTest.java
+++ b/src/test/java/mintstair/wire/ParsersTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -106,6 +107,18 @@
         }
     }
 
+    /** Guards against values that no host made: whatever length a row claims but its own, it is not served. */
+    @Property(seed = "4", tries = 100)
+    void rowWhoseLengthDoesNotFitIsNotServed(@ForAll @IntRange(min = -9, max = 70_000) int claimed) {
+        byte[] reply = ROW.clone();
+        int at = new String(ROW, StandardCharsets.ISO_8859_1).indexOf("D\0\0\0");
+        ByteBuffer.wrap(reply).putInt(at + 7, claimed);
+        var parser = new PgProtocol().newParser();
+        if (claimed != 3) {
+            assertThrows(ProtocolException.class, () -> cut(new PgFramer.OfHost(), reply, new Random(1)).forEach(parser::take));
+        }
+    }
+
     private static void tolerant(Runnable parse) {
         try {
             parse.run();
