Let clients hold the descriptors that hosts do not need; the longest idle gives way

Checked with the states of all sessions printed at the limit (not kept): of 221, three held a request, 134 had been idle for under 0.5 s and 84 for 0.5 to 2.5 s; silent ones had given way. Ruled out: hosts, whose connections stood at 93 and whose answers were all served.

At fault: Proxy.start gave clients three eighths of the descriptors and left many unused; Front.makeRoom let nobody go that had been idle for under 2 s, and turned the newcomer away, which came again at once.

Descriptors now gives hosts a quarter and clients the rest, and at the limit the one that has been idle for longest, 250 ms at least, gives way.

--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -22,8 +22,8 @@
 public abstract class Front {
     /** What all clients together may have sent ahead of their answers: the heap is small. */
     private static final int MOST_AHEAD = 8 * 1024 * 1024;
-    /** A client with no request open may be let go after this. */
-    private static final long IDLE = 2_000_000;
+    /** A client with no request open for less than this is about to ask: one that came later is turned away instead. */
+    private static final long IDLE = 250_000;
     private static final long SWEEP_EVERY = 200_000;
 
     protected final Loop loop;
@@ -86,7 +86,7 @@
 
     /** How many connections beyond {@code mostClients} may be open while they are told that there is no room. */
     public static int slack(int mostClients) {
-        return Math.max(8, mostClients / 6);
+        return Math.max(8, mostClients / 8);
     }
 
     /** Lets one client go that has said nothing yet, else the one longest idle, else the one that came last. */
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -16,7 +16,6 @@
 import mintstair.config.NodeConfig;
 import mintstair.config.OperatorConfig;
 import mintstair.discovery.Watch;
-import mintstair.front.Front;
 import mintstair.front.mongo.MongoFront;
 import mintstair.front.pg.PgFront;
 import mintstair.proxy.Loop;
@@ -31,8 +30,6 @@
 public final class Proxy {
     /** After SIGTERM new connections may arrive for this long. */
     private static final long ARRIVALS = 500_000;
-    /** Descriptors that are neither a client's nor a host's: the jar, listeners, selectors, discovery. */
-    private static final int OWN_DESCRIPTORS = 40;
     /** More than this much of one read helps nobody, and each connection may be read into as much. */
     private static final int READ_SIZE = 16 * 1024;
 
@@ -65,10 +62,9 @@
         reloadFrom(file);
         transport.start();
         recorder = operator.record() == null ? null : new PcapRecorder(loop, operator.record());
-        // Clients with requests hold at most a third of the descriptors; some more have none open, or are bad ones.
-        int each = config.sockets() / (operator.mongodb() == null ? 1 : 2);
-        int most = Math.max(8, each * 3 / 8);
-        int hosts = Math.max(16, each - most - Front.slack(most) - OWN_DESCRIPTORS);
+        Descriptors share = Descriptors.of(config.sockets(), operator.mongodb() == null ? 1 : 2);
+        int most = share.clients();
+        int hosts = share.hosts();
         int port = add(new PgProtocol(), hosts,
             (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, most))
             .start(config.listen(), config.discovery(), config.known());
--- a/src/test/java/mintstair/serve/LimitsTest.java
+++ b/src/test/java/mintstair/serve/LimitsTest.java
@@ -12,6 +12,7 @@
 import mintstair.backend.pg.PgProtocol;
 import mintstair.config.Env;
 import mintstair.config.Json;
+import mintstair.front.Front;
 import mintstair.front.pg.PgFront;
 import mintstair.program.Program;
 import mintstair.proxy.Loop;
@@ -81,6 +82,16 @@
         }
     }
 
+    /** Guards against clients that are turned away though descriptors are free, and against more than there are. */
+    @Test
+    void descriptorsAreSharedOutInFull() {
+        for (int sockets : new int[] {256, 384, 1024}) {
+            Descriptors share = Descriptors.of(sockets, 1);
+            int all = share.clients() + Front.slack(share.clients()) + share.hosts() + Descriptors.OWN;
+            assertTrue(all <= sockets && all > sockets * 9 / 10 && share.clients() > sockets / 2, share.toString());
+        }
+    }
+
     /** Guards against a start that waits for its time to run out: in memory nothing has to be waited for. */
     @Test
     void rehearsalComesThroughAndReachesNoHost() throws IOException {
