Let the longest idle clients go before clients run short of connections

Checked in the states printed before: 128 started sessions of 384 descriptors, a third to the connection, of which two held a request; clients had none left to ask on. At fault: Front made room only at its own limit of 221.

From two fifths of the most clients on, more than eight, each that comes lets the longest idle one go, 250 ms at least.

--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -24,6 +24,9 @@
     private static final int MOST_AHEAD = 8 * 1024 * 1024;
     /** A client with no request open for less than this is about to ask: one that came later is turned away instead. */
     private static final long IDLE = 250_000;
+    /** From this share of the most clients on, each that comes lets the one go that has been idle for longest. */
+    private static final double CROWDED = 0.4;
+    private static final int FEW = 8;
     private static final long SWEEP_EVERY = 200_000;
 
     protected final Loop loop;
@@ -81,9 +84,28 @@
         // Descriptors are few: past this many clients the hosts' connections would find none left.
         if (sessions.size() > mostClients) {
             makeRoom(session);
+        } else if (sessions.size() > Math.max(FEW, mostClients * CROWDED)) {
+            // Clients run short of connections of their own before the descriptors here do.
+            letIdlestGo();
         }
     }
 
+    private boolean letIdlestGo() {
+        long now = loop.now();
+        ClientSession idlest = null;
+        for (ClientSession session : sessions) {
+            if (now - session.idleSince() > IDLE && !session.isSilent()
+                    && (idlest == null || session.idleSince() < idlest.idleSince())) {
+                idlest = session;
+            }
+        }
+        if (idlest != null) {
+            counters.clientsIdledOut++;
+            idlest.closeWhenIdle();
+        }
+        return idlest != null;
+    }
+
     /** How many connections beyond {@code mostClients} may be open while they are told that there is no room. */
     public static int slack(int mostClients) {
         return Math.max(8, mostClients / 8);
@@ -91,22 +113,14 @@
 
     /** Lets one client go that has said nothing yet, else the one longest idle, else the one that came last. */
     private void makeRoom(ClientSession newest) {
-        long now = loop.now();
-        ClientSession idlest = null;
         for (ClientSession session : sessions) {
             if (session != newest && session.isSilent()) {
                 counters.clientsTurnedAway++;
                 session.turnAway();
                 return;
             }
-            if (now - session.idleSince() > IDLE && (idlest == null || session.idleSince() < idlest.idleSince())) {
-                idlest = session;
-            }
         }
-        if (idlest != null) {
-            counters.clientsIdledOut++;
-            idlest.closeWhenIdle();
-        } else {
+        if (!letIdlestGo()) {
             counters.clientsTurnedAway++;
             newest.turnAway();
         }
--- a/src/test/java/mintstair/serve/LimitsTest.java
+++ b/src/test/java/mintstair/serve/LimitsTest.java
@@ -6,6 +6,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -32,10 +34,13 @@
     @BeforeEach
     void start() throws IOException {
         transport.start();
-        Env env = env();
+        port = listen(2);
+    }
+
+    private int listen(int mostClients) throws IOException {
         HostList.Entry replica = new HostList.Entry("r", "127.0.0.1:9", "z", 1, HostList.State.SERVING, false, 1, 0);
-        port = new Service(loop, transport, new PgProtocol(), 1, env, 10,
-            (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, 2))
+        return new Service(loop, transport, new PgProtocol(), 1, env(), 10,
+            (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, mostClients))
             .start(new InetSocketAddress("127.0.0.1", 0), null, new HostList(1, true, List.of(replica)));
     }
 
@@ -136,6 +141,34 @@
         }
     }
 
+    /** Guards against clients that run short of connections of their own, as they keep them: room is made before the limit. */
+    @Test
+    void amongManyTheLongestIdleGoesAsOthersCome() throws IOException {
+        int roomy = listen(20);
+        List<Client.Pg> clients = new ArrayList<>();
+        try (Client.Pg first = new Client.Pg(roomy)) {
+            for (int i = 0; i < 8; i++) {
+                clients.add(new Client.Pg(roomy));
+            }
+            long end = System.nanoTime() + 20_000_000_000L;
+            first.socket.setSoTimeout(20);
+            int heard = 0;
+            while (heard != -1 && System.nanoTime() < end) {
+                new Client.Pg(roomy).close();
+                try {
+                    heard = first.in.read();
+                } catch (SocketTimeoutException e) {
+                    // Not let go yet.
+                }
+            }
+            assertEquals(-1, heard);
+        } finally {
+            for (Client.Pg client : clients) {
+                client.close();
+            }
+        }
+    }
+
     /** Guards against floods of connections that say nothing: they give way at once, and end by themselves. */
     @Test
     void silentConnectionsGiveWayAndEndByADeadline() throws IOException {
