Add the second address with readyz and telemetry; upgrade on a shared clients' address

Seen: a second process ended with status 2 (bind in Front.listen), nothing answered on the second address. Ruled out: the 1,024 accepts of the first form (the same with one), the discovery connection (the same without). The gate on the empty query is gone, as the front now listens only when it can serve.

--- a/src/main/java/mintstair/backend/Backends.java
+++ b/src/main/java/mintstair/backend/Backends.java
@@ -35,7 +35,7 @@
     final IdleTrust trust = new IdleTrust();
     private final long idleLimit;
     private final int most;
-    private final Counters counters;
+    final Counters counters;
     private final Map<String, HostPool> pools = new HashMap<>();
     private int open;
 
--- a/src/main/java/mintstair/backend/HostConnection.java
+++ b/src/main/java/mintstair/backend/HostConnection.java
@@ -73,12 +73,12 @@
             made.closeSilently();
             return;
         }
-        ask(backends.protocol.greeting());
+        ask(backends.protocol.greeting(), false);
     }
 
-    private void ask(byte[] words) {
+    private void ask(byte[] words, boolean attempt) {
         parser.asked(words);
-        write(words);
+        write(words, attempt);
     }
 
     boolean leadsTo(InetSocketAddress to) {
@@ -107,16 +107,19 @@
         call = next;
         next.connection = this;
         written = false;
-        ask(next.words.apply(Math.max(1, (next.until - now) / 1000)));
+        ask(next.words.apply(Math.max(1, (next.until - now) / 1000)), !next.probe);
     }
 
     @SuppressWarnings({"unchecked", "rawtypes"})
-    private void write(byte[] bytes) {
+    private void write(byte[] bytes, boolean attempt) {
         Buffer buffer = Buffers.wrap(backends.transport.getMemoryManager(), bytes);
         ((Connection) connection).write(buffer, new EmptyCompletionHandler<WriteResult>() {
             @Override
             public void completed(WriteResult result) {
                 written = true;
+                if (attempt) {
+                    backends.counters.written.incrementAndGet();
+                }
             }
         });
     }
--- a/src/main/java/mintstair/config/NodeConfig.java
+++ b/src/main/java/mintstair/config/NodeConfig.java
@@ -10,8 +10,8 @@
 import mintstair.request.HostList;
 
 /** What one proxy is told at its start. */
-public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        HostList known, Env env) {
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress control,
+        long seed, int sockets, HostList known, Env env) {
 
     /** Reads the file; throws {@link ConfigException} with one plain line where it cannot be used. */
     public static NodeConfig read(Path file) {
@@ -27,7 +27,7 @@
             int sockets = map.get("limits") instanceof Map<?, ?> limits
                 && limits.get("sockets") instanceof Number n ? n.intValue() : 1024;
             return new NodeConfig(text(map, "name"), address(text(map, "listen")), address(text(map, "discovery")),
-                seed(map.get("seed")), sockets, known, new Env(settings));
+                control(map.get("control")), seed(map.get("seed")), sockets, known, new Env(settings));
         } catch (IOException | IllegalArgumentException | ConfigException e) {
             throw unusable(file, e);
         }
@@ -46,6 +46,12 @@
         throw new ConfigException(key + " is missing");
     }
 
+    /** The second address, in the file or the environment; null where there is none. */
+    private static InetSocketAddress control(Object value) {
+        String text = value instanceof String s ? s : System.getenv("NODE_CONTROL");
+        return text == null || text.isEmpty() ? null : address(text);
+    }
+
     private static long seed(Object value) {
         if (value instanceof String s) {
             return Long.parseUnsignedLong(s, 16);
--- /dev/null
+++ b/src/main/java/mintstair/control/Calls.java
@@ -0,0 +1,30 @@
+package mintstair.control;
+
+import java.util.function.Supplier;
+import mintstair.stats.Figures;
+
+/** What the staff and the platform may ask on the second address, and the words of the answers. */
+public final class Calls {
+    private static final String NO = "fail\n";
+    private volatile boolean takesClients;
+    private final Supplier<Figures> figures;
+
+    /** {@code figures} gives the newest snapshot at once, whatever the loop is at. */
+    public Calls(Supplier<Figures> figures) {
+        this.figures = figures;
+    }
+
+    /** Says whether this process takes clients: from when its front listens until it is told to end. */
+    public void takesClients(boolean does) {
+        takesClients = does;
+    }
+
+    /** The whole answer to one line; {@code fail} to what is no call. */
+    String answer(String line) {
+        return switch (line.strip()) {
+            case "readyz" -> takesClients ? "ok\n" : NO;
+            case "telemetry" -> "ok\n" + figures.get() + "eof\n";
+            default -> NO;
+        };
+    }
+}
--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -544,6 +544,15 @@
         return over > SLOW ? Math.max(TRIAL_WEIGHT, w * SLOW * SLOW / (over * over) / 2) : w;
     }
 
+    @Override public int avoided(long now) {
+        int count = 0;
+        for (Host h : hosts.values()) {
+            fade(now, h);
+            if (h.goneAt == 0 && (!h.ready || h.silent || h.failing > FAILING)) count++;
+        }
+        return count;
+    }
+
     /** The primary, if it is there and has room; reads may fill only a part of it. */
     private Host usablePrimary(long now, Group g, Open q) {
         Host p = g.primary;
--- a/src/main/java/mintstair/decision/SplitterApi.java
+++ b/src/main/java/mintstair/decision/SplitterApi.java
@@ -101,6 +101,9 @@
         /** A probe ended; {@code report} is null where there is none. */
         void onProbed(long now, String host, Ending ending, long latency, Report report);
 
+        /** How many hosts of the list are draining, silent or failing: they get trial requests at most. */
+        int avoided(long now);
+
         /** A message of another router. */
         void onPeer(long now, int from, String text);
     }
--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import mintstair.request.Answer;
@@ -31,6 +33,7 @@
     /** A client that takes nothing of its answer for so long is gone. */
     private static final long WRITE_PATIENCE = 5_000_000;
     private static final long NEVER = Long.MAX_VALUE;
+    private static final int LAST_LOOK = 4 * 1024;
 
     private final Front front;
     private final Connection<?> connection;
@@ -39,9 +42,9 @@
     private final AtomicInteger unread = new AtomicInteger();
     private volatile boolean paused;
     private volatile boolean deaf;
+    private volatile int reads;
     private boolean heard;
     private boolean writing;
-    private boolean held;
     private boolean closed;
     private boolean closing;
     private boolean ending;
@@ -87,6 +90,7 @@
         if (deaf) {
             return;
         }
+        reads++;
         int n = bytes.remaining();
         if (unread.addAndGet(n) > MOST_UNREAD && !paused) {
             paused = true;
@@ -201,7 +205,7 @@
 
     /** Since when nothing has been open here, or never where something is. */
     final long idleSince() {
-        boolean open = closed || closing || exchange != null || writing || held || ending || framer.pending() > 0 || !commands.isEmpty();
+        boolean open = closed || closing || exchange != null || writing || ending || framer.pending() > 0 || !commands.isEmpty();
         return open ? NEVER : idleSince;
     }
 
@@ -209,10 +213,32 @@
     final void closeWhenIdle() {
         closing = true;
         if (!closed && exchange == null && !writing && framer.pending() == 0 && commands.isEmpty()) {
-            close();
+            int heardThen = reads;
+            ((NIOConnection) connection).executeInEventThread(IOEvent.READ, () -> closeUnlessHeard(heardThen));
         }
     }
 
+    /**
+     * The last look, on the thread that reads: a request that lies unread in the socket, or came while the loop was on its
+     * way here, would be reset by the close, so it is taken instead; its answer is followed by the next last look.
+     */
+    private void closeUnlessHeard(int heardThen) {
+        if (deaf || reads != heardThen) {
+            return;
+        }
+        try {
+            ByteBuffer last = ByteBuffer.allocate(LAST_LOOK);
+            if (((SocketChannel) ((NIOConnection) connection).getChannel()).read(last) > 0) {
+                read(ByteBuffer.wrap(Arrays.copyOf(last.array(), last.position())));
+                return;
+            }
+        } catch (IOException e) {
+            // It is broken, and closed here as well.
+        }
+        deaf = true;
+        connection.closeSilently();
+    }
+
     protected final void close() {
         closed = true;
         deaf = true;
@@ -222,7 +248,7 @@
     /** The next command is looked at when the answer to the last is written out: what does not read, waits. */
     private void goOn() {
         try {
-            while (!closed && !ending && exchange == null && !writing && !held && !commands.isEmpty()) {
+            while (!closed && !ending && exchange == null && !writing && !commands.isEmpty()) {
                 byte[] message = commands.poll();
                 commandBytes -= message.length;
                 command(message);
@@ -263,15 +289,6 @@
         }
     }
 
-    /** Writes this as soon as the proxy can serve, and takes no further command before. */
-    protected final void writeWhenReady(byte[] words) {
-        held = true;
-        front.whenReady(() -> {
-            held = false;
-            write(words);
-        });
-    }
-
     /** Hands a request on and answers it when its final answer is there. */
     protected final void submit(ProxyRequest request, Consumer<Answer> answer) {
         boolean[] answered = new boolean[1];
--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -12,6 +11,7 @@
 import mintstair.stats.Counters;
 import mintstair.wire.MessageFilter;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
@@ -28,6 +28,7 @@
     private static final double CROWDED = 0.4;
     private static final int FEW = 8;
     private static final long SWEEP_EVERY = 200_000;
+    private static final int BACKLOG = 1024;
 
     protected final Loop loop;
     protected final Dispatcher dispatcher;
@@ -36,8 +37,9 @@
     private final int mostClients;
     private final AtomicInteger open = new AtomicInteger();
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
+    /** Connections taken from the kernel, on the thread that does so. */
+    private int accepted;
     private int ahead;
-    private List<Runnable> untilReady = new ArrayList<>();
     private TCPNIOServerConnection listener;
     Recorder recorder;
 
@@ -48,6 +50,7 @@
         this.transport = transport;
         this.counters = counters;
         this.mostClients = mostClients;
+        loop.at(loop.now() + SWEEP_EVERY, this::sweep);
     }
 
     /** Has what clients say and hear written to a capture file, from now on. */
@@ -60,6 +63,7 @@
     /** Listens on the address, or on any free port of it for port 0; returns the port. */
     public int listen(InetSocketAddress address) throws IOException {
         MessageFilter filter = new MessageFilter(connection -> {
+            accepted++;
             // Those past the limit are told so by the loop; a flood that is faster than the loop gets no further.
             if (open.incrementAndGet() > mostClients + slack(mostClients)) {
                 open.decrementAndGet();
@@ -72,8 +76,7 @@
         });
         listener = TCPNIOBindingHandler.builder(transport)
             .processor(FilterChainBuilder.stateless().add(new TransportFilter()).add(filter).build()).build()
-            .bind(address, 1024);
-        loop.at(loop.now() + SWEEP_EVERY, this::sweep);
+            .bind(address, BACKLOG);
         return ((InetSocketAddress) listener.getLocalAddress()).getPort();
     }
 
@@ -137,24 +140,6 @@
         open.decrementAndGet();
     }
 
-    /** Runs the answer when this proxy can serve: the front layer asks for it before it sends clients. */
-    void whenReady(Runnable answer) {
-        if (untilReady == null) {
-            answer.run();
-        } else {
-            untilReady.add(answer);
-        }
-    }
-
-    /** From here on this proxy can serve. */
-    public void ready() {
-        if (untilReady != null) {
-            List<Runnable> answers = untilReady;
-            untilReady = null;
-            answers.forEach(Runnable::run);
-        }
-    }
-
     /** What this front took in, sent and answered so far, on one line. */
     public String counters() {
         return counters.toString();
@@ -170,8 +155,25 @@
         sessions.remove(session);
     }
 
+    /**
+     * Listens no more. What the kernel has taken in for this listener is accepted first: closing resets it, though another
+     * process listens on the same address.
+     */
     public void stopListening() {
-        listener.closeSilently();
+        TCPNIOServerConnection ending = listener;
+        ending.executeInEventThread(IOEvent.SERVER_ACCEPT, () -> {
+            try {
+                int before;
+                do {
+                    before = accepted;
+                    ending.onAccept();
+                } while (accepted != before);
+            } catch (IOException e) {
+                System.err.println("front: " + e.getMessage());
+            }
+            // Not closed on this thread: the next listener's registration was seen to go unnoticed after that, for 10 s.
+            loop.execute(ending::closeSilently);
+        });
     }
 
     /** Lets every client go that has no request here. */
--- a/src/main/java/mintstair/front/mongo/MongoSession.java
+++ b/src/main/java/mintstair/front/mongo/MongoSession.java
@@ -84,7 +84,7 @@
     private void command(MongoMessage m, String name) {
         BsonDocument c = m.body();
         switch (name) {
-            case "hello", "isMaster", "ismaster" -> writeWhenReady(words(m, hello(name)));
+            case "hello", "isMaster", "ismaster" -> write(words(m, hello(name)));
             case "ping", "endSessions" -> reply(m, ok());
             case "buildInfo", "buildinfo" -> reply(m, ok().append("version", new BsonString("7.0.0"))
                 .append("versionArray", array(7, 0, 0, 0)).append("maxBsonObjectSize", new BsonInt32(longest())));
--- a/src/main/java/mintstair/front/pg/PgSession.java
+++ b/src/main/java/mintstair/front/pg/PgSession.java
@@ -85,7 +85,7 @@
         String text = PgStatement.text(m);
         String head = text.strip().toUpperCase(Locale.ROOT);
         if (head.isEmpty()) {
-            writeWhenReady(new PgWriter().message('I').ready().bytes());
+            write(new PgWriter().message('I').ready().bytes());
             return;
         }
         if (head.equals("SHOW COUNTERS")) {
--- a/src/main/java/mintstair/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -19,6 +19,7 @@
 import mintstair.routing.News;
 import mintstair.routing.RequestRouter;
 import mintstair.stats.Counters;
+import mintstair.stats.Figures;
 
 /**
  * Carries requests from the fronts to the router's decisions, those to the hosts, and the answers back.
@@ -39,6 +40,7 @@
     private final Set<String> openIds = new HashSet<>();
     private final Set<Integer> clusters = new HashSet<>();
     private final Set<String> serving = new HashSet<>();
+    private final Set<String> known = new HashSet<>();
     private boolean working;
     private long numbers;
     private Future<?> alarm;
@@ -113,9 +115,15 @@
     public void listed(HostList list, boolean old) {
         if (list.whole()) {
             serving.clear();
+            known.clear();
         }
         for (HostList.Entry entry : list.entries()) {
             clusters.add(entry.cluster());
+            if (entry.state() == HostList.State.DELETED) {
+                known.remove(entry.host());
+            } else {
+                known.add(entry.host());
+            }
             if (entry.state() == HostList.State.SERVING) {
                 serving.add(entry.host());
             } else {
@@ -135,6 +143,13 @@
         return held;
     }
 
+    /** Adds what the people on call are told of requests and hosts. */
+    public void addTo(Figures.Sum sum) {
+        counters.addTo(sum);
+        sum.add("in_flight", held()).add("db_hosts_known", known.size())
+            .add("db_hosts_excluded", router.avoided(loop.now()));
+    }
+
     private void tick() {
         alarmAt = Long.MAX_VALUE;
         carryOut(router.tick(loop.now()));
@@ -241,7 +256,7 @@
 
     private void answer(Taken t, Answer answer) {
         if (t.exchange.answer(answer)) {
-            counters.answered(answer);
+            counters.answered(t.exchange.request().requestClass(), answer);
         }
         over(t);
     }
--- a/src/main/java/mintstair/routing/RequestRouter.java
+++ b/src/main/java/mintstair/routing/RequestRouter.java
@@ -83,6 +83,11 @@
         return env.settings.classes().get(env.classes.get(name));
     }
 
+    /** How many of the listed hosts the module keeps requests away from at this time. */
+    public int avoided(long at) {
+        return module.avoided(at);
+    }
+
     /** Decides on a new request, whose number is used for it from here on. */
     public List<Directive> pick(long at, long number, ProxyRequest r) {
         now = at;
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,12 +18,18 @@
 import mintstair.backend.pg.PgProtocol;
 import mintstair.config.NodeConfig;
 import mintstair.config.OperatorConfig;
+import mintstair.control.Calls;
+import mintstair.control.ControlServer;
 import mintstair.discovery.Watch;
+import mintstair.front.Front;
 import mintstair.front.mongo.MongoFront;
 import mintstair.front.pg.PgFront;
 import mintstair.proxy.Loop;
 import mintstair.request.HostList;
+import mintstair.stats.Figures;
 import mintstair.wire.PgWriter;
+import org.glassfish.grizzly.nio.ChannelConfigurator;
+import org.glassfish.grizzly.nio.NIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
@@ -36,10 +45,15 @@
     /** The rehearsal takes no more than this before the front layer is told that this proxy can serve. */
     private static final long REHEARSAL_MILLIS = 2_500;
 
+    private static final long PUBLISH_EVERY = 100_000;
+
     private final NodeConfig config;
     private final OperatorConfig operator;
     private final Loop loop = new Loop();
     private final TCPNIOTransport transport;
+    private volatile Figures figures = new Figures.Sum().figures();
+    private final Calls calls = new Calls(() -> figures);
+    private ControlServer control;
     private final List<Service> services = new ArrayList<>();
     private PcapRecorder recorder;
     private StoreKeeper keeper;
@@ -50,42 +64,80 @@
         transport = transport();
     }
 
-    /** One network thread: what it reads, it hands to the loop. */
+    /** One network thread: what it reads, it hands to the loop. Another process may listen on the same address. */
     static TCPNIOTransport transport() {
-        return TCPNIOTransportBuilder.newInstance().setIOStrategy(SameThreadIOStrategy.getInstance())
+        TCPNIOTransport made = TCPNIOTransportBuilder.newInstance().setIOStrategy(SameThreadIOStrategy.getInstance())
             .setSelectorRunnersCount(1).setTcpNoDelay(true).setReuseAddress(true)
             .setReadBufferSize(READ_SIZE).build();
+        ChannelConfigurator usual = made.getChannelConfigurator();
+        made.setChannelConfigurator(new ChannelConfigurator() {
+            @Override
+            public void preConfigure(NIOTransport of, SelectableChannel channel) throws IOException {
+                usual.preConfigure(of, channel);
+                if (channel instanceof ServerSocketChannel listener) {
+                    listener.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+                }
+            }
+
+            @Override
+            public void postConfigure(NIOTransport of, SelectableChannel channel) throws IOException {
+                usual.postConfigure(of, channel);
+            }
+        });
+        return made;
     }
 
     /** Starts to serve; returns once the proxy listens. At SIGHUP it reads {@code file} anew. */
     public void start(Path file) throws IOException {
         reloadFrom(file);
+        if (config.control() != null) {
+            control = new ControlServer(calls);
+            System.out.println("control on " + config.control().getHostString() + ":" + control.listen(config.control()));
+        }
         transport.start();
         recorder = operator.record() == null ? null : new PcapRecorder(loop, operator.record());
         Descriptors share = Descriptors.of(config.sockets(), operator.mongodb() == null ? 1 : 2);
         int most = share.clients();
         int hosts = share.hosts();
-        int port = add(new PgProtocol(), hosts,
-            (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, most))
-            .start(config.listen(), config.discovery(), config.known());
+        add(new PgProtocol(), hosts, (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, most))
+            .begin(config.discovery(), config.known());
         OperatorConfig.Mongo mongodb = operator.mongodb();
         if (mongodb != null) {
             add(new MongoProtocol(), hosts,
                 (dispatcher, counters) -> new MongoFront(loop, dispatcher, transport, counters, most))
-                .start(mongodb.listen(), mongodb.discovery(), mongodb.hosts());
+                .begin(mongodb.discovery(), mongodb.hosts());
+        }
+        loop.execute(this::publish);
+        rehearse(config.listen());
+        services.get(0).open(config.listen(), recorder);
+        if (mongodb != null) {
+            services.get(1).open(mongodb.listen(), recorder);
         }
         if (operator.store() != null) {
             keeper = new StoreKeeper(operator.store(), config.name(), this::listed, this::state);
         }
         // Only what serves has something to finish: a failed start ends at once, with its own status.
         Runtime.getRuntime().addShutdownHook(new Thread(this::finish, "finish"));
-        rehearse(config.listen(), port);
+        calls.takesClients(true);
     }
 
-    private void rehearse(InetSocketAddress listen, int port) {
-        loop.execute(() -> services.forEach(Service::holdBack));
+    /**
+     * On a free port of the same host: another process may serve on the clients' address, and as soon as this one listens
+     * there as well, half of the new clients are its own.
+     */
+    private void rehearse(InetSocketAddress listen) throws IOException {
+        Front front = services.get(0).front;
+        int port = front.listen(new InetSocketAddress(listen.getAddress(), 0));
         Rehearsal.run(config.env(), new InetSocketAddress(listen.getAddress(), port), REHEARSAL_MILLIS);
-        loop.execute(() -> services.forEach(service -> service.open(recorder)));
+        front.stopListening();
+    }
+
+    /** The loop's figures at this moment, for whoever asks; again and again. */
+    private void publish() {
+        Figures.Sum sum = new Figures.Sum();
+        services.forEach(service -> service.addTo(sum));
+        figures = sum.figures();
+        loop.at(loop.now() + PUBLISH_EVERY, this::publish);
     }
 
     private Service add(Protocol protocol, int most, Service.FrontMaker maker) {
@@ -115,11 +167,15 @@
     public static void check(NodeConfig config) throws IOException {
         Proxy tried = new Proxy(config, OperatorConfig.NONE);
         tried.transport.start();
-        int port = tried.add(new PgProtocol(), 16,
-            (dispatcher, counters) -> new PgFront(tried.loop, dispatcher, tried.transport, counters, 16))
-            .start(new InetSocketAddress("127.0.0.1", 0), null, config.known());
+        InetSocketAddress free = new InetSocketAddress("127.0.0.1", 0);
+        Service service = tried.add(new PgProtocol(), 16,
+            (dispatcher, counters) -> new PgFront(tried.loop, dispatcher, tried.transport, counters, 16));
+        service.begin(null, config.known());
         new Watch(tried.loop, tried.transport, config.discovery(), list -> { });
-        tried.rehearse(new InetSocketAddress("127.0.0.1", 0), port);
+        tried.loop.execute(tried::publish);
+        new ControlServer(tried.calls).listen(free);
+        tried.rehearse(free);
+        int port = service.open(free, null);
         try (Socket client = new Socket("127.0.0.1", port)) {
             client.setSoTimeout(10_000);
             client.getOutputStream().write(new PgWriter().packet(196608, "user", "web", "database", "orders", "")
@@ -154,6 +210,7 @@
 
     /** On SIGTERM: what arrives for a while is served, what is held is finished, then the program ends well. */
     private void finish() {
+        calls.takesClients(false);
         CountDownLatch done = new CountDownLatch(1);
         loop.at(loop.now() + ARRIVALS, () -> {
             services.forEach(service -> service.front.stopListening());
--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import mintstair.backend.Backends;
 import mintstair.backend.Protocol;
 import mintstair.config.Env;
@@ -13,6 +14,7 @@
 import mintstair.request.HostList;
 import mintstair.routing.RequestRouter;
 import mintstair.stats.Counters;
+import mintstair.stats.Figures;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
 /** One front and the hosts behind it, of one protocol, with a router of its own between them. */
@@ -27,10 +29,8 @@
     private final Loop loop;
     private final TCPNIOTransport transport;
     private final Dispatcher dispatcher;
+    private final CompletableFuture<Void> listKnown = new CompletableFuture<>();
     private boolean told;
-    private boolean listKnown;
-    private boolean rehearsing;
-    private String address;
     private Watch watch;
 
     Service(Loop loop, TCPNIOTransport transport, Protocol protocol, long seed, Env env, int mostHostConnections,
@@ -42,29 +42,14 @@
         dispatcher = new Dispatcher(loop, new RequestRouter(loop.now(), seed, env), hosts, counters,
             System.out::println);
         front = maker.make(dispatcher, counters);
+        env.classes.keySet().forEach(counters::knows);
     }
 
     private void toldByDiscovery(HostList list) {
         dispatcher.listed(list, false);
         if (!told) {
             told = true;
-            loop.at(loop.now() + POLLED_AFTER, this::listKnown);
-        }
-    }
-
-    private void listKnown() {
-        listKnown = true;
-        readyIfAll();
-    }
-
-    /** Holds the front back until it is opened: the code that serves is being run for the first times; on the loop. */
-    void holdBack() {
-        rehearsing = true;
-    }
-
-    private void readyIfAll() {
-        if (listKnown && !rehearsing) {
-            front.ready();
+            loop.at(loop.now() + POLLED_AFTER, () -> listKnown.complete(null));
         }
     }
 
@@ -87,8 +72,8 @@
         Front make(Dispatcher dispatcher, Counters counters);
     }
 
-    /** Begins to serve: from the list as last known, and from discovery where there is one; returns the port. */
-    int start(InetSocketAddress listen, InetSocketAddress discovery, HostList known) throws IOException {
+    /** Begins to look for hosts: from the list as last known, and from discovery where there is one. */
+    void begin(InetSocketAddress discovery, HostList known) {
         loop.execute(() -> {
             if (known != null) {
                 dispatcher.listed(known, discovery != null);
@@ -97,17 +82,20 @@
                 discover(discovery);
             }
         });
+        loop.at(loop.now() + READY_AFTER, () -> listKnown.complete(null));
+    }
+
+    /** Lets clients come, once hosts are known; has what they say recorded, if there is a recorder. Returns the port. */
+    int open(InetSocketAddress listen, Recorder recorder) throws IOException {
+        listKnown.join();
+        front.record(recorder);
         int port = front.listen(listen);
-        loop.at(loop.now() + READY_AFTER, this::listKnown);
-        address = listen.getHostString() + ":" + port;
+        System.out.println("serving on " + listen.getHostString() + ":" + port);
         return port;
     }
 
-    /** Says that clients may come, and has what they say recorded from here on, if there is a recorder. */
-    void open(Recorder recorder) {
-        front.record(recorder);
-        rehearsing = false;
-        readyIfAll();
-        System.out.println("serving on " + address);
+    /** Adds what the people on call are told; on the loop. */
+    void addTo(Figures.Sum sum) {
+        dispatcher.addTo(sum);
     }
 }
--- a/src/main/java/mintstair/stats/Counters.java
+++ b/src/main/java/mintstair/stats/Counters.java
@@ -1,6 +1,9 @@
 package mintstair.stats;
 
+import java.util.LinkedHashMap;
 import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import mintstair.request.Answer;
 import mintstair.request.ConnectionEnd;
 
@@ -19,22 +22,45 @@
     public long clientsTurnedAway;
     public long clientsIdledOut;
     public long hostsOpened;
+    /** Attempts whose last byte was written to a host; counted where that happens, on any thread. */
+    public final AtomicLong written = new AtomicLong();
+    public long reloadsOk;
+    public long reloadsFailed;
+    /** Served, refused and failed of each class; of one that was dropped they stay. */
+    private final Map<String, long[]> classes = new LinkedHashMap<>();
     private final long[] ends = new long[ConnectionEnd.values().length];
 
     public void ended(ConnectionEnd end) {
         ends[end.ordinal()]++;
     }
 
-    public void answered(Answer answer) {
+    /** The class is there to be asked for, with nothing counted yet. */
+    public void knows(String requestClass) {
+        classes.computeIfAbsent(requestClass, name -> new long[3]);
+    }
+
+    public void answered(String requestClass, Answer answer) {
+        long[] ofClass = classes.computeIfAbsent(requestClass, name -> new long[3]);
         if (answer instanceof Answer.Served) {
             served++;
+            ofClass[0]++;
         } else if (answer instanceof Answer.Refused) {
             refused++;
+            ofClass[1]++;
         } else {
             failed++;
+            ofClass[2]++;
         }
     }
 
+    /** Adds these to the figures that are told on the second address. */
+    public void addTo(Figures.Sum sum) {
+        classes.forEach((name, counts) -> sum.add("served." + name, counts[0]).add("refused." + name, counts[1])
+            .add("failed." + name, counts[2]));
+        sum.add("attempts", written.get());
+        sum.add("reloads_ok", reloadsOk).add("reloads_failed", reloadsFailed);
+    }
+
     /** One line, names and values. */
     @Override
     public String toString() {
--- /dev/null
+++ b/src/test/java/mintstair/program/DayToDayTest.java
@@ -0,0 +1,135 @@
+package mintstair.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import mintstair.standin.Client;
+import mintstair.standin.Discovery;
+import mintstair.standin.PgHost;
+import mintstair.standin.StandInHost.Act;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What the staff do to a running proxy, from outside. */
+class DayToDayTest {
+    private static final long AHEAD = System.currentTimeMillis() + 3_600_000;
+    private PgHost primary;
+    private PgHost replica;
+    private Discovery discovery;
+    private Program program;
+
+    @BeforeEach
+    void start() throws IOException {
+        primary = new PgHost("p", true, AHEAD);
+        replica = new PgHost("r", false, AHEAD);
+        discovery = new Discovery(list("SERVING"));
+        program = Program.serve(discovery.port(), list("SERVING"), true, null);
+    }
+
+    private String list(String replicaIs) {
+        return primary.listed("SERVING") + "," + replica.listed(replicaIs);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        program.close();
+        discovery.close();
+        primary.close();
+        replica.close();
+    }
+
+    /** Callers that keep their connections without a whole call must not keep the others out. */
+    @Test
+    void secondAddressAnswersAlongsideCallersThatSayNothing() throws IOException {
+        program.port(0);
+        assertEquals("ok\n", program.call("readyz\n"));
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            Socket caller = new Socket("127.0.0.1", program.control());
+            caller.getOutputStream().write("rea".getBytes());
+            silent.add(caller);
+        }
+        assertEquals("ok\n", program.call("readyz\r\n"));
+        assertEquals("fail\n", program.call("fly\n"));
+        assertEquals("fail\n", program.call("x".repeat(300)));
+        silent.get(0).setSoTimeout(20_000);
+        assertTrue(endsAt(silent.get(0)), "the oldest gave way");
+        for (Socket caller : silent) {
+            caller.close();
+        }
+    }
+
+    private static boolean endsAt(Socket caller) {
+        try {
+            return caller.getInputStream().read() == -1;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    /** Each figure against what the clients heard and the hosts saw. */
+    @Test
+    void figuresAreWhatClientsAndHostsSaw() throws IOException {
+        primary.script.put("broken", Act.BREAK);
+        primary.script.put("full", Act.FULL);
+        primary.script.put("open", Act.SILENT);
+        try (Client.Pg client = new Client.Pg(program.port(0)); Client.Pg waits = new Client.Pg(program.port(0))) {
+            for (int i = 0; i < 5; i++) {
+                assertEquals("served s" + i, client.ask(false, "id=s" + i + ",c=any,cluster=1", 4000));
+            }
+            assertEquals("failed", client.ask(true, "id=broken,c=write,cluster=1", 2000));
+            assertTrue(client.ask(true, "id=full,c=write,cluster=1", 100).startsWith("refused"));
+            waits.send(true, "id=open,c=write,cluster=1", 5000);
+            for (String line : new String[] {"served.any=5", "failed.write=1", "refused.write=1", "served.write=0",
+                "in_flight=1", "db_hosts_known=2", "db_hosts_excluded=0", "reloads_ok=0", "reloads_failed=0"}) {
+                program.awaitFigure(line);
+            }
+            program.awaitFigure("attempts=" + (primary.seen.size() + replica.seen.size()));
+            discovery.tell(list("DRAINING"));
+            program.awaitFigure("db_hosts_excluded=1");
+            program.awaitFigure("db_hosts_known=2");
+            assertTrue(program.call("telemetry\n").startsWith("ok\n") && program.call("telemetry\n").endsWith("\neof\n"));
+        }
+        program.awaitFigure("in_flight=0");
+    }
+
+    /** A second process on the same address: no client is turned back, what was taken is answered, the first ends. */
+    @Test
+    void upgradeTurnsNoClientBack() throws Exception {
+        int port = program.port(0);
+        primary.script.put("held", Act.SILENT);
+        try (Client.Pg idle = new Client.Pg(port); Client.Pg holds = new Client.Pg(port)) {
+            holds.send(true, "id=held,c=write,cluster=1", 1500);
+            Program.await(() -> primary.seen.contains("held"), "the write");
+            try (Program next = Program.serve(port, discovery.port(), list("SERVING"), true, null)) {
+                assertEquals(port, next.port(0));
+                Program.await(() -> says(next, "ok\n"), "the new process to take clients");
+                program.terminate();
+                for (int i = 0; i < 200; i++) {
+                    try (Client.Pg client = new Client.Pg(port)) {
+                        assertEquals("served u" + i, client.ask(false, "id=u" + i + ",c=any,cluster=1", 4000));
+                    }
+                }
+                assertEquals("failed", holds.answer(), "what was taken is answered");
+                assertEquals(-1, idle.in.read(), "a kept connection is let go");
+                assertEquals(0, program.exit());
+                try (Client.Pg client = new Client.Pg(port)) {
+                    assertEquals("served last", client.ask(false, "id=last,c=any,cluster=1", 4000));
+                }
+            }
+        }
+    }
+
+    private static boolean says(Program program, String answer) {
+        try {
+            return program.call("readyz\n").equals(answer);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- a/src/test/java/mintstair/program/Program.java
+++ b/src/test/java/mintstair/program/Program.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -40,9 +41,13 @@
 
     /** A proxy for these hosts of PostgreSQL's protocol, and with an operator's file if that is not null. */
     static Program serve(int discovery, String known, boolean probing, String operator) throws IOException {
+        return serve(0, discovery, known, probing, operator);
+    }
+
+    static Program serve(int listen, int discovery, String known, boolean probing, String operator) throws IOException {
         Path folder = Files.createTempDirectory("mintstair");
         Path config = folder.resolve("config.json");
-        Files.writeString(config, config(discovery, known, probing));
+        Files.writeString(config, config(listen, discovery, known, probing));
         Program program;
         if (operator == null) {
             program = new Program("serve", config.toString());
@@ -56,7 +61,11 @@
     }
 
     static String config(int discovery, String known, boolean probing) {
-        return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery
+        return config(0, discovery, known, probing);
+    }
+
+    static String config(int listen, int discovery, String known, boolean probing) {
+        return "{\"name\":\"n1\",\"control\":\"127.0.0.1:0\",\"listen\":\"127.0.0.1:" + listen + "\",\"discovery\":\"127.0.0.1:" + discovery
             + "\",\"seed\":\"5c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":{\"rev\":1,\"all\":true,\"targets\":["
             + known + "]},\"settings\":" + SETTINGS.replace("PROBING", "" + probing) + "}";
     }
@@ -81,8 +90,37 @@
 
     /** The port of the n-th front, from 0. */
     int port(int n) {
-        await(() -> lines("serving on ").size() > n, "a front");
-        String line = lines("serving on ").get(n);
+        return port("serving on ", n);
+    }
+
+    /** The port of the second address. */
+    int control() {
+        return port("control on ", 0);
+    }
+
+    /** What the second address answers to these words, to its end. */
+    String call(String words) throws IOException {
+        try (Socket caller = new Socket("127.0.0.1", control())) {
+            caller.setSoTimeout(20_000);
+            caller.getOutputStream().write(words.getBytes(StandardCharsets.UTF_8));
+            return new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    /** Waits until the figures of the second address hold this line. */
+    void awaitFigure(String line) {
+        await(() -> {
+            try {
+                return List.of(call("telemetry\n").split("\n")).contains("svc." + line);
+            } catch (IOException e) {
+                return false;
+            }
+        }, line);
+    }
+
+    private int port(String start, int n) {
+        await(() -> lines(start).size() > n, start);
+        String line = lines(start).get(n);
         return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
     }
 
--- a/src/test/java/mintstair/serve/BothFrontsTest.java
+++ b/src/test/java/mintstair/serve/BothFrontsTest.java
@@ -90,7 +90,8 @@
             Service service = new Service(loop, transport, protocol, 20261201, env, 100, (dispatcher, counters) -> pg
                 ? new PgFront(loop, dispatcher, transport, counters, 10)
                 : new MongoFront(loop, dispatcher, transport, counters, 10));
-            int port = service.start(new InetSocketAddress("127.0.0.1", 0), null, list);
+            service.begin(null, list);
+            int port = service.open(new InetSocketAddress("127.0.0.1", 0), null);
             List<String> answers = new ArrayList<>();
             try (Client client = pg ? new Client.Pg(port) : new Client.Mongo(port)) {
                 for (Asked a : mix()) {
