--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -29,6 +29,7 @@
     private static final int FEW = 8;
     private static final long SWEEP_EVERY = 200_000;
     private static final int BACKLOG = 1024;
+    private static final long DEREGISTERED = 500;
 
     protected final Loop loop;
     protected final Dispatcher dispatcher;
@@ -37,8 +38,6 @@
     private final int mostClients;
     private final AtomicInteger open = new AtomicInteger();
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
-    /** Connections taken from the kernel, on the thread that does so. */
-    private int accepted;
     private int ahead;
     private TCPNIOServerConnection listener;
     Recorder recorder;
@@ -63,7 +62,6 @@
     /** Listens on the address, or on any free port of it for port 0; returns the port. */
     public int listen(InetSocketAddress address) throws IOException {
         MessageFilter filter = new MessageFilter(connection -> {
-            accepted++;
             // Those past the limit are told so by the loop; a flood that is faster than the loop gets no further.
             if (open.incrementAndGet() > mostClients + slack(mostClients)) {
                 open.decrementAndGet();
@@ -157,25 +155,34 @@
 
     /**
      * Listens no more. What the kernel has taken in for this listener is accepted first: closing resets it, though another
-     * process listens on the same address.
+     * process listens on the same address. So the channel leaves its selector, which would put the close off.
      */
     public void stopListening() {
         TCPNIOServerConnection ending = listener;
         ending.executeInEventThread(IOEvent.SERVER_ACCEPT, () -> {
-            try {
-                int before;
-                do {
-                    before = accepted;
-                    ending.onAccept();
-                } while (accepted != before);
-            } catch (IOException e) {
-                System.err.println("front: " + e.getMessage());
-            }
-            // Not closed on this thread: the next listener's registration was seen to go unnoticed after that, for 10 s.
-            loop.execute(ending::closeSilently);
+            ending.getSelectionKey().cancel();
+            loop.execute(() -> drainAndClose(ending));
         });
     }
 
+    private void drainAndClose(TCPNIOServerConnection ending) {
+        if (ending.getChannel().isRegistered()) {
+            loop.at(loop.now() + DEREGISTERED, () -> drainAndClose(ending));
+            return;
+        }
+        try {
+            // Each takes one connection, if there is one; a call to an empty queue costs next to nothing.
+            for (int i = 0; i < BACKLOG; i++) {
+                ending.onAccept();
+            }
+            ending.getChannel().close();
+        } catch (IOException e) {
+            System.err.println("front: " + e.getMessage());
+        }
+        // Not on the event thread: the next listener's registration was seen to go unnoticed after that, for 10 s.
+        ending.closeSilently();
+    }
+
     /** Lets every client go that has no request here. */
     public void letGo() {
         for (ClientSession session : List.copyOf(sessions)) {
