Pass long answers on as they come, with backpressure; give slow heads 2.5 s

Ruled out on the way: the attempt staying out for the module while its client reads: 40 slow clients filled the limits of both hosts in DayToDayTest and the next was refused; it ends for the module with its first bytes now. At the end of an answer in parts only what came last goes on; a break cuts the client's connection in the middle of the value.

--- a/src/main/java/mintstair/backend/Backends.java
+++ b/src/main/java/mintstair/backend/Backends.java
@@ -5,7 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.concurrent.atomic.AtomicLong;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
@@ -34,6 +34,9 @@
     long connectTimeout;
     final IdleTrust trust = new IdleTrust();
     private long idleLimit;
+    /** Bytes of long answers that wait for their clients, and where they become too many for the heap. */
+    final AtomicLong held = new AtomicLong();
+    static final long MOST_HELD = 6 * 1024 * 1024;
     private final int most;
     final Counters counters;
     private final Map<String, HostPool> pools = new HashMap<>();
@@ -94,12 +97,12 @@
     }
 
     @Override
-    public Sent send(String host, Statement statement, long writeBy, long until, Consumer<Reply> end) {
+    public Sent send(String host, Statement statement, long writeBy, long until, Receiver end) {
         return start(host, new Call(statement::encode, writeBy, until, false, end));
     }
 
     @Override
-    public void probe(String host, Consumer<Reply> end) {
+    public void probe(String host, Receiver end) {
         long until = loop.now() + connectTimeout;
         start(host, new Call(wait -> protocol.probe(), until, until, true, end));
     }
--- a/src/main/java/mintstair/backend/Call.java
+++ b/src/main/java/mintstair/backend/Call.java
@@ -1,7 +1,6 @@
 package mintstair.backend;
 
 import java.util.concurrent.Future;
-import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import mintstair.proxy.Hosts;
 import mintstair.request.ConnectionEnd;
@@ -13,14 +12,15 @@
     final long writeBy;
     final long until;
     final boolean probe;
-    private final Consumer<Reply> listener;
+    private final Hosts.Receiver listener;
     HostConnection connection;
     HostPool pool;
     Future<?> timer;
     private boolean ended;
+    private boolean flows;
 
     /** {@code words} makes what is sent, from the milliseconds that are left until {@code until}. */
-    Call(LongFunction<byte[]> words, long writeBy, long until, boolean probe, Consumer<Reply> listener) {
+    Call(LongFunction<byte[]> words, long writeBy, long until, boolean probe, Hosts.Receiver listener) {
         this.words = words;
         this.writeBy = writeBy;
         this.until = until;
@@ -32,11 +32,21 @@
         return ended;
     }
 
+    /** Whether a long answer has begun to go on: its time is over only when its host stops giving. */
+    boolean flows() {
+        return flows;
+    }
+
+    void part(byte[] bytes, Runnable taken) {
+        flows = true;
+        listener.part(bytes, taken);
+    }
+
     void end(Reply reply) {
         if (!ended) {
             ended = true;
             timer.cancel(false);
-            listener.accept(reply);
+            listener.end(reply);
         }
     }
 
--- a/src/main/java/mintstair/backend/HostConnection.java
+++ b/src/main/java/mintstair/backend/HostConnection.java
@@ -13,6 +13,7 @@
 import mintstair.request.ConnectionEnd;
 import mintstair.request.Reply;
 import mintstair.wire.Framer;
+import mintstair.wire.Intake;
 import mintstair.wire.MessageFilter;
 import mintstair.wire.ProtocolException;
 
@@ -22,6 +23,11 @@
 
     /** After its reply a connection waits for so long: bytes behind the reply must not meet the next call. */
     private static final long REST = 5_000;
+    /** So much of a long answer may wait for its client; the second where all that waits is too much. */
+    private static final int MOST_HELD = 64 * 1024;
+    private static final int MOST_IN_NEED = 16 * 1024;
+    /** A host that gives nothing of its answer for so long is not giving it any more. */
+    private static final long STALL = 5_000_000;
 
     private final HostPool pool;
     private final Backends backends;
@@ -33,8 +39,11 @@
     private volatile boolean written;
     private volatile int readCount;
     private int takenCount;
+    private int passed;
     private InetSocketAddress address;
     private long idled;
+    private long heardAt;
+    private volatile Intake intake;
     long idleSince;
 
     HostConnection(HostPool pool, Backends backends) {
@@ -49,6 +58,7 @@
         backends.connector.connect(to, new EmptyCompletionHandler<Connection>() {
             @Override
             public void completed(Connection made) {
+                intake = new Intake(made, MOST_HELD, MOST_IN_NEED, backends.held, Backends.MOST_HELD);
                 backends.filter.listen(made, HostConnection.this);
                 backends.loop.execute(() -> connected(made));
             }
@@ -141,16 +151,43 @@
     @Override
     public void read(ByteBuffer bytes) {
         readCount++;
-        backends.loop.execute(() -> take(bytes));
+        int n = bytes.remaining();
+        intake.read(n);
+        backends.loop.execute(() -> intake.used(n - take(bytes)));
     }
 
     @Override
     public void closed() {
+        intake.end();
         backends.loop.execute(this::broken);
     }
 
-    private void take(ByteBuffer bytes) {
+    /** Whether the host goes on giving a long answer, or would, were its client quicker. */
+    boolean gives(long now) {
+        return intake.isPaused() || now - heardAt < STALL;
+    }
+
+    /** Takes in what was read; tells how much of it went on and waits for its client. */
+    private int take(ByteBuffer bytes) {
         takenCount++;
+        heardAt = backends.loop.now();
+        passed = 0;
+        parse(bytes);
+        return passed;
+    }
+
+    /** What can go on of a long answer does; no more is read meanwhile than its client takes. */
+    private void passOn(byte[] part) {
+        if (part != null && call != null) {
+            passed += part.length;
+            call.part(part, () -> {
+                heardAt = backends.loop.now();
+                intake.used(part.length);
+            });
+        }
+    }
+
+    private void parse(ByteBuffer bytes) {
         if (state == State.CLOSED) {
             return;
         }
@@ -164,6 +201,7 @@
             byte[] message = framer.next();
             while (message != null) {
                 reply = parser.take(message);
+                passOn(parser.takePart());
                 message = reply == null ? framer.next() : null;
             }
             if (reply != null) {
--- a/src/main/java/mintstair/backend/HostPool.java
+++ b/src/main/java/mintstair/backend/HostPool.java
@@ -103,6 +103,8 @@
         if (call.connection == null) {
             boolean late = now >= call.writeBy && now < call.until;
             call.stop(opening > 0 && !late ? ConnectionEnd.CONNECT_TIMEOUT : ConnectionEnd.NEVER_SENT);
+        } else if (call.flows() && call.connection.gives(now)) {
+            call.timer = backends.loop.at(now + REST, () -> timeUp(call));
         } else if (now < call.until) {
             call.timer = backends.loop.at(call.until, () -> timeUp(call));
         } else {
--- a/src/main/java/mintstair/backend/Protocol.java
+++ b/src/main/java/mintstair/backend/Protocol.java
@@ -29,6 +29,11 @@
         /** Takes in a message; gives the reply that it completes, or null. */
         Reply take(byte[] message);
 
+        /** What of a long answer can go on before it is whole, since the last call; null for nothing. */
+        default byte[] takePart() {
+            return null;
+        }
+
         /** The reply that stands when the connection ends here, or null where there is none. */
         Reply atEnd();
     }
--- a/src/main/java/mintstair/backend/pg/PgProtocol.java
+++ b/src/main/java/mintstair/backend/pg/PgProtocol.java
@@ -74,6 +74,9 @@
 
     /** The one column of the row in a reply that was checked: it stands behind the description of its row. */
     private static String row(byte[] body) {
+        if (body[0] != 'T') {
+            throw new ProtocolException("a row too long to be held");
+        }
         int at = 1 + ByteBuffer.wrap(body).getInt(1);
         int length = ByteBuffer.wrap(body).getInt(at + 7);
         return new String(body, at + 11, length, StandardCharsets.UTF_8);
@@ -89,6 +92,8 @@
 
         private static final int READY_LENGTH = 6;
         private ByteArrayOutputStream body = new ByteArrayOutputStream(256);
+        private ByteArrayOutputStream part;
+        private int valueLeft;
         private Due due = Due.DESCRIPTION;
         private boolean greeting = true;
         private ConnectionEnd end;
@@ -97,6 +102,11 @@
 
         @Override
         public Reply take(byte[] m) {
+            if (valueLeft > 0) {
+                valueLeft -= m.length;
+                part.writeBytes(m);
+                return null;
+            }
             switch (m[0]) {
                 case 'R' -> {
                     check(greeting && m.length == 9 && int32(m, 5) == 0, "the host asks for a password");
@@ -107,7 +117,16 @@
                 case 'K' -> check(greeting && m.length == 13, "a key out of place");
                 case 'N', 'A' -> { }
                 case 'T' -> next(m, Due.DESCRIPTION, Due.ROW, isDescription(m));
-                case 'D' -> next(m, Due.ROW, Due.COMPLETION, isRow(m));
+                case 'D' -> {
+                    // Of a long one this is the head, and what goes on from here on cannot be taken back.
+                    int length = 1 + int32(m, 1);
+                    next(m, Due.ROW, Due.COMPLETION, isRow(m, length));
+                    if (length > m.length) {
+                        valueLeft = length - m.length;
+                        part = body;
+                        body = new ByteArrayOutputStream(256);
+                    }
+                }
                 case 'C' -> {
                     next(m, Due.COMPLETION, Due.READY, zero(m, 5) == m.length - 1);
                     end = ConnectionEnd.SERVED;
@@ -121,6 +140,7 @@
                     check(due == Due.READY && m.length == READY_LENGTH && m[5] == 'I', "not ready for the next");
                     Reply reply = atEnd();
                     body = new ByteArrayOutputStream(256);
+                    part = null;
                     due = Due.DESCRIPTION;
                     greeting = false;
                     end = null;
@@ -133,6 +153,16 @@
             return null;
         }
 
+        @Override
+        public byte[] takePart() {
+            if (part == null || part.size() == 0) {
+                return null;
+            }
+            byte[] taken = part.toByteArray();
+            part.reset();
+            return taken;
+        }
+
         @Override
         public Reply atEnd() {
             return end == null ? null : new Reply(end, end == ConnectionEnd.SERVED ? body.toByteArray() : null,
@@ -151,8 +181,8 @@
         }
 
         /** One column, whose length is that of the message's rest. */
-        private static boolean isRow(byte[] m) {
-            return m.length >= 11 && int16(m, 5) == 1 && int32(m, 7) == m.length - 11;
+        private static boolean isRow(byte[] m, int length) {
+            return m.length >= Framer.LONG_HEAD && int16(m, 5) == 1 && int32(m, 7) == length - Framer.LONG_HEAD;
         }
 
         private void parameter(byte[] m) {
--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import mintstair.request.Answer;
+import mintstair.request.Client;
 import mintstair.request.Exchange;
 import mintstair.request.ProxyRequest;
 import mintstair.wire.Framer;
@@ -29,7 +30,7 @@
     /** What was read and not yet looked at; past it nothing more is read, so that a flood waits in its own socket. */
     private static final int MOST_UNREAD = 64 * 1024;
     /** For the start-up, for the rest of a message that has begun, and for the end of what is cut off. */
-    private static final long PATIENCE = 2_000_000;
+    private static final long PATIENCE = 2_500_000;
     /** A client that takes nothing of its answer for so long is gone. */
     private static final long WRITE_PATIENCE = 5_000_000;
     private static final long NEVER = Long.MAX_VALUE;
@@ -44,7 +45,7 @@
     private volatile boolean deaf;
     private volatile int reads;
     private boolean heard;
-    private boolean writing;
+    private int writing;
     private boolean closed;
     private boolean closing;
     private boolean ending;
@@ -175,7 +176,7 @@
 
     /** Ends what has been waited for long enough: a start-up, the rest of a message, a client that does not read. */
     final void sweep(long now) {
-        if (ending ? now - endingSince > PATIENCE : writing && now - writingSince > WRITE_PATIENCE) {
+        if (ending ? now - endingSince > PATIENCE : writing > 0 && now - writingSince > WRITE_PATIENCE) {
             cutOff(now);
         } else if (!ending && !heard && now - idleSince > PATIENCE) {
             broken("the connection was not started in time");
@@ -186,7 +187,7 @@
 
     /** What an ending client still waits for is given up: it is told so by its last words, or by the close. */
     private void cutOff(long now) {
-        if (exchange == null || writing || last == null) {
+        if (exchange == null || writing > 0 || last == null) {
             closed = true;
             connection.terminateSilently();
             return;
@@ -205,14 +206,14 @@
 
     /** Since when nothing has been open here, or never where something is. */
     final long idleSince() {
-        boolean open = closed || closing || exchange != null || writing || ending || framer.pending() > 0 || !commands.isEmpty();
+        boolean open = closed || closing || exchange != null || writing > 0 || ending || framer.pending() > 0 || !commands.isEmpty();
         return open ? NEVER : idleSince;
     }
 
     /** Closes now, where no request is held, else after its answer. */
     final void closeWhenIdle() {
         closing = true;
-        if (!closed && exchange == null && !writing && framer.pending() == 0 && commands.isEmpty()) {
+        if (!closed && exchange == null && writing == 0 && framer.pending() == 0 && commands.isEmpty()) {
             int heardThen = reads;
             ((NIOConnection) connection).executeInEventThread(IOEvent.READ, () -> closeUnlessHeard(heardThen));
         }
@@ -248,7 +249,7 @@
     /** The next command is looked at when the answer to the last is written out: what does not read, waits. */
     private void goOn() {
         try {
-            while (!closed && !ending && exchange == null && !writing && !commands.isEmpty()) {
+            while (!closed && !ending && exchange == null && writing == 0 && !commands.isEmpty()) {
                 byte[] message = commands.poll();
                 commandBytes -= message.length;
                 command(message);
@@ -280,7 +281,7 @@
     }
 
     private void finish() {
-        if (ending && last != null && exchange == null && !writing) {
+        if (ending && last != null && exchange == null && writing == 0) {
             byte[] words = last;
             last = null;
             write(words);
@@ -292,30 +293,53 @@
     /** Hands a request on and answers it when its final answer is there. */
     protected final void submit(ProxyRequest request, Consumer<Answer> answer) {
         boolean[] answered = new boolean[1];
-        Exchange submitted = front.dispatcher.submit(request, a -> {
-            answered[0] = true;
-            exchange = null;
-            answer.accept(a);
-            goOn();
+        Exchange submitted = front.dispatcher.submit(request, new Client() {
+            @Override
+            public void answer(Answer a) {
+                answered[0] = true;
+                exchange = null;
+                answer.accept(a);
+                goOn();
+            }
+
+            @Override
+            public void part(byte[] bytes, Runnable taken) {
+                write(bytes, taken);
+            }
+
+            @Override
+            public void cut() {
+                // In the middle of a message: no client takes what it has for the whole.
+                exchange = null;
+                closed = true;
+                connection.terminateSilently();
+            }
         });
         if (!answered[0]) {
             exchange = submitted;
         }
     }
 
-    @SuppressWarnings({"unchecked", "rawtypes"})
     protected final void write(byte[] words) {
+        write(words, () -> { });
+    }
+
+    @SuppressWarnings({"unchecked", "rawtypes"})
+    private void write(byte[] words, Runnable taken) {
         if (closed) {
             return;
         }
-        writing = true;
+        writing++;
         writingSince = front.loop.now();
         record.said(false, words);
         ((Connection) connection).write(Buffers.wrap(front.transport.getMemoryManager(), words),
             new EmptyCompletionHandler<WriteResult>() {
                 @Override
                 public void completed(WriteResult result) {
-                    front.loop.execute(() -> written());
+                    front.loop.execute(() -> {
+                        taken.run();
+                        written();
+                    });
                 }
 
                 @Override
@@ -326,8 +350,9 @@
     }
 
     private void written() {
-        writing = false;
+        writing--;
         idleSince = front.loop.now();
+        writingSince = idleSince;
         goOn();
         finish();
     }
--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -27,7 +27,7 @@
     /** From this share of the most clients on, each that comes lets the one go that has been idle for longest. */
     private static final double CROWDED = 0.4;
     private static final int FEW = 8;
-    private static final long SWEEP_EVERY = 200_000;
+    private static final long SWEEP_EVERY = 100_000;
     private static final int BACKLOG = 1024;
     private static final long DEREGISTERED = 500;
 
--- a/src/main/java/mintstair/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import mintstair.config.Env;
 import mintstair.request.Answer;
+import mintstair.request.Client;
 import mintstair.request.ConnectionEnd;
 import mintstair.request.Exchange;
 import mintstair.request.HostList;
@@ -53,6 +54,7 @@
         final Map<Integer, Hosts.Sent> out = new HashMap<>();
         Future<?> guard;
         boolean closed;
+        Hosts.Sent flows;
 
         Taken(Exchange exchange) {
             this.exchange = exchange;
@@ -92,7 +94,7 @@
     }
 
     /** Takes a request in; {@code client} gets its one final answer unless the exchange is abandoned. */
-    public Exchange submit(ProxyRequest request, Consumer<Answer> client) {
+    public Exchange submit(ProxyRequest request, Client client) {
         long now = loop.now();
         Taken t = new Taken(new Exchange(++numbers, request, now, client));
         taken.put(numbers, t);
@@ -108,7 +110,11 @@
         if (!exchange.isOver()) {
             counters.abandoned++;
             exchange.abandon();
-            over(taken.get(exchange.number()));
+            Taken t = taken.get(exchange.number());
+            over(t);
+            if (t.flows != null) {
+                t.flows.callOff();
+            }
             carryOut(router.report(loop.now(), new News.ClientGone(exchange.number())));
         }
     }
@@ -237,28 +243,60 @@
         long until = d.until() == 0 ? t.exchange.deadline() : Math.min(d.until(), t.exchange.deadline());
         counters.sent++;
         boolean[] ended = new boolean[1];
-        Hosts.Sent sent = hosts.send(d.host(), t.exchange.request().statement(), d.writeBy(), until, reply -> {
-            ended[0] = true;
-            attemptEnded(t, d, sentAt, reply);
+        Hosts.Sent sent = hosts.send(d.host(), t.exchange.request().statement(), d.writeBy(), until, new Hosts.Receiver() {
+            @Override
+            public void end(Reply reply) {
+                ended[0] = true;
+                attemptEnded(t, d, sentAt, reply);
+            }
+
+            @Override
+            public void part(byte[] bytes, Runnable taken) {
+                attemptGives(t, d, sentAt, bytes, taken);
+            }
         });
         if (!ended[0]) {
             t.out.put(d.attempt(), sent);
         }
     }
 
+    /** A long answer goes on as it comes. With its first bytes it is the only one, and no deadline counts any more. */
+    private void attemptGives(Taken t, Directive.Send d, long sentAt, byte[] bytes, Runnable taken) {
+        Hosts.Sent sent = t.out.get(d.attempt());
+        if (t.flows == null && !t.exchange.isOver()) {
+            t.flows = sent;
+            t.guard.cancel(false);
+            // Its host has done the work: how long the client takes to read says nothing of hosts, and keeps none busy.
+            carryOut(router.report(loop.now(), new News.AttemptEnd(d.request(), d.attempt(), d.host(), ConnectionEnd.SERVED,
+                loop.now() - sentAt, true, Reply.of(null).note())));
+        }
+        if (t.flows == sent) {
+            t.exchange.part(bytes, taken);
+        } else {
+            // Another answer was quicker.
+            taken.run();
+            sent.callOff();
+        }
+    }
+
     private void attemptEnded(Taken t, Directive.Send d, long sentAt, Reply reply) {
-        t.out.remove(d.attempt());
+        boolean flowed = t.out.remove(d.attempt()) == t.flows && t.flows != null;
         counters.ended(reply.end());
-        if (reply.end().isServed()) {
+        if (reply.end().isServed() && (flowed || t.flows == null)) {
             answer(t, new Answer.Served(d.host(), reply.body()));
+        } else if (flowed && !t.exchange.isOver()) {
+            counters.answered(t.exchange.request().requestClass(), new Answer.Failed("its host broke off", false));
+            t.exchange.cut();
         }
         long now = loop.now();
         boolean over = t.exchange.isOver();
         if (over) {
             over(t);
         }
-        carryOut(router.report(now, new News.AttemptEnd(d.request(), d.attempt(), d.host(), reply.end(),
-            now - sentAt, over, reply.note())));
+        if (!flowed) {
+            carryOut(router.report(now, new News.AttemptEnd(d.request(), d.attempt(), d.host(), reply.end(),
+                now - sentAt, over || t.flows != null, reply.note())));
+        }
     }
 
     private void answer(Taken t, Answer answer) {
--- a/src/main/java/mintstair/proxy/Hosts.java
+++ b/src/main/java/mintstair/proxy/Hosts.java
@@ -1,12 +1,22 @@
 package mintstair.proxy;
 
-import java.util.function.Consumer;
 import mintstair.request.HostList;
 import mintstair.request.Reply;
 import mintstair.request.Statement;
 
 /** The db hosts as the dispatcher sees them; every call and every ending happens on the loop. */
 public interface Hosts {
+    /** Takes what comes back for something that was sent. */
+    interface Receiver {
+        /** Its one ending. */
+        void end(Reply reply);
+
+        /** A part of an answer too long to be held, in order, before the end; {@code taken} is run when it has gone on. */
+        default void part(byte[] bytes, Runnable taken) {
+            taken.run();
+        }
+    }
+
     /** Something that was sent and may be called off. */
     interface Sent {
         /** Stops waiting; it ends as called off, or as never sent. */
@@ -17,10 +27,10 @@
      * Sends the statement to a host by {@code writeBy} or not at all, and stops waiting at {@code until};
      * {@code end} gets exactly one ending.
      */
-    Sent send(String host, Statement statement, long writeBy, long until, Consumer<Reply> end);
+    Sent send(String host, Statement statement, long writeBy, long until, Receiver end);
 
     /** Asks a host for its report; {@code end} gets exactly one ending. */
-    void probe(String host, Consumer<Reply> end);
+    void probe(String host, Receiver end);
 
     /** Which hosts there are, or what changed of them. */
     void listed(HostList list);
--- /dev/null
+++ b/src/main/java/mintstair/request/Client.java
@@ -0,0 +1,15 @@
+package mintstair.request;
+
+/** Who a request came from, as far as its answer goes. */
+public interface Client {
+    /** The final answer; after parts, the rest of it. */
+    void answer(Answer answer);
+
+    /** A part of an answer too long to be held, in order; {@code taken} is run when it is on its way. */
+    default void part(byte[] bytes, Runnable taken) {
+        throw new UnsupportedOperationException("long answers");
+    }
+
+    /** The answer of which parts went on cannot be finished, and the client must be able to tell. */
+    default void cut() { }
+}
--- a/src/main/java/mintstair/request/Exchange.java
+++ b/src/main/java/mintstair/request/Exchange.java
@@ -1,16 +1,14 @@
 package mintstair.request;
 
-import java.util.function.Consumer;
-
 /** A request that was taken in, and the guarantee that its client gets one final answer, not two. */
 public final class Exchange {
     private final ProxyRequest request;
-    private final Consumer<Answer> client;
+    private final Client client;
     private final long arrived;
     private final long number;
     private boolean over;
 
-    public Exchange(long number, ProxyRequest request, long arrived, Consumer<Answer> client) {
+    public Exchange(long number, ProxyRequest request, long arrived, Client client) {
         this.number = number;
         this.request = request;
         this.arrived = arrived;
@@ -45,10 +43,21 @@
             return false;
         }
         over = true;
-        client.accept(answer);
+        client.answer(answer);
         return true;
     }
 
+    /** Passes on a part of an answer too long to be held; from then on no other answer can be given. */
+    public void part(byte[] bytes, Runnable taken) {
+        client.part(bytes, taken);
+    }
+
+    /** Ends an answer of which parts went on, and that cannot be finished. */
+    public void cut() {
+        over = true;
+        client.cut();
+    }
+
     /** The client has left: nobody is owed an answer any more. */
     public void abandon() {
         over = true;
--- a/src/main/java/mintstair/serve/Rehearsal.java
+++ b/src/main/java/mintstair/serve/Rehearsal.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import mintstair.backend.Protocol;
 import mintstair.backend.pg.PgProtocol;
 import mintstair.config.Env;
@@ -100,21 +99,21 @@
         private int sent;
 
         @Override
-        public Sent send(String host, Statement statement, long writeBy, long until, Consumer<Reply> end) {
+        public Sent send(String host, Statement statement, long writeBy, long until, Receiver end) {
             statement.encode(until - loop.now());
             sent++;
             boolean lost = sent % 50 == 0;
-            loop.execute(() -> end.accept(lost ? Reply.of(ConnectionEnd.BROKEN_AFTER_WRITTEN)
+            loop.execute(() -> end.end(lost ? Reply.of(ConnectionEnd.BROKEN_AFTER_WRITTEN)
                 : read(sent % 20 == 0 ? MISS : row(host, "rehearsed"))));
             return () -> { };
         }
 
         @Override
-        public void probe(String host, Consumer<Reply> end) {
+        public void probe(String host, Receiver end) {
             loop.execute(() -> {
                 Reply reply = read(row(host, "inflight=1,util=0.5,x0=" + loop.now() / 1e6 + ",x1="
                     + (host.equals(PRIMARY) ? 1 : 0)));
-                end.accept(new Reply(reply.end(), null, protocol.report(reply.body())));
+                end.end(new Reply(reply.end(), null, protocol.report(reply.body())));
             });
         }
 
--- a/src/main/java/mintstair/wire/Framer.java
+++ b/src/main/java/mintstair/wire/Framer.java
@@ -4,9 +4,13 @@
 
 /** Cuts a stream of bytes into whole messages, however the bytes come in; half a message is never given out. */
 public abstract class Framer {
+    /** Of a message that comes in parts, the first has so many bytes. */
+    public static final int LONG_HEAD = 11;
+
     private byte[] held = new byte[512];
     private int from;
     private int to;
+    private int rest;
 
     /** Takes in what was read. */
     public final void feed(ByteBuffer read) {
@@ -23,12 +27,26 @@
         to += n;
     }
 
-    /** The next whole message, or null until more is read; throws where what came can be no message. */
+    /**
+     * The next whole message, or null until more is read; throws where what came can be no message. One longer than
+     * {@link #longestWhole} comes in parts: its head, then its rest as it is read.
+     */
     public final byte[] next() {
+        if (rest > 0) {
+            int part = Math.min(rest, to - from);
+            rest -= part;
+            return part == 0 ? null : give(part);
+        }
         int length = length(held, from, to - from);
-        if (length < 0 || length > to - from) {
+        int whole = length > longestWhole() ? LONG_HEAD : length;
+        if (length < 0 || whole > to - from) {
             return null;
         }
+        rest = length - whole;
+        return give(whole);
+    }
+
+    private byte[] give(int length) {
         byte[] message = java.util.Arrays.copyOfRange(held, from, from + length);
         from += length;
         if (from == to && held.length > 64 * 1024) {
@@ -48,6 +66,12 @@
     public final void clear() {
         from = 0;
         to = 0;
+        rest = 0;
+    }
+
+    /** A longer message is not kept until it is whole. */
+    protected int longestWhole() {
+        return Integer.MAX_VALUE;
     }
 
     /** The length of the message that begins here, or -1 while that cannot be told from {@code n} bytes. */
--- a/src/main/java/mintstair/wire/PgFramer.java
+++ b/src/main/java/mintstair/wire/PgFramer.java
@@ -7,14 +7,20 @@
 public abstract class PgFramer extends Framer {
     /** A value of 64 KiB in hexadecimal, twice over for its statement. */
     public static final int LONGEST = 256 * 1024;
+    /** A host's value: those of 4 MiB are in use, what claims far more is spoilt. */
+    public static final int LONGEST_VALUE = 16 * 1024 * 1024;
+    /** A longer value is not held until it is whole. */
+    public static final int LONGEST_HELD = 64 * 1024;
     private static final int LONGEST_STARTUP = 10_000;
     private static final int LONGEST_OTHER = 8 * 1024;
     private final String types;
     private final char large;
+    private final int longest;
 
-    private PgFramer(String types, char large) {
+    private PgFramer(String types, char large, int longest) {
         this.types = types;
         this.large = large;
+        this.longest = longest;
     }
 
     @Override
@@ -26,7 +32,7 @@
         if (types.indexOf(type) < 0) {
             throw new ProtocolException("unknown message type " + (int) type);
         }
-        return n < 5 ? -1 : 1 + checked(int32(b, at + 1), 4, type == large ? LONGEST : LONGEST_OTHER);
+        return n < 5 ? -1 : 1 + checked(int32(b, at + 1), 4, type == large ? longest : LONGEST_OTHER);
     }
 
     private static int checked(int length, int least, int most) {
@@ -39,7 +45,12 @@
     /** What a db host answers simple queries with. */
     public static final class OfHost extends PgFramer {
         public OfHost() {
-            super("RSKNATDCEIZ", 'D');
+            super("RSKNATDCEIZ", 'D', LONGEST_VALUE);
+        }
+
+        @Override
+        protected int longestWhole() {
+            return LONGEST_HELD + LONG_HEAD;
         }
     }
 
@@ -48,7 +59,7 @@
         private boolean over;
 
         public OfClient() {
-            super("QXPBDECFHSdcfp", 'Q');
+            super("QXPBDECFHSdcfp", 'Q', LONGEST);
         }
 
         @Override
--- a/src/test/java/mintstair/program/DayToDayTest.java
+++ b/src/test/java/mintstair/program/DayToDayTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
 import mintstair.standin.Client;
@@ -46,8 +47,7 @@
     /** Callers that keep their connections without a whole call must not keep the others out. */
     @Test
     void secondAddressAnswersAlongsideCallersThatSayNothing() throws IOException {
-        program.port(0);
-        assertEquals("ok\n", program.call("readyz\n"));
+        Program.await(() -> says(program, "ok\n"), "the program to take clients");
         List<Socket> silent = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
             Socket caller = new Socket("127.0.0.1", program.control());
@@ -98,6 +98,48 @@
         program.awaitFigure("in_flight=0");
     }
 
+    /** A value of 4 MiB goes on whole; many at once that nobody reads hold up no other client, nor fill the heap. */
+    @Test
+    void longAnswersGoOnWhileOthersDoNotRead() throws IOException {
+        List<Client.Pg> slow = new ArrayList<>();
+        primary.script.put("long", Act.LONG);
+        replica.script.put("long", Act.LONG);
+        for (int i = 0; i < 40; i++) {
+            primary.script.put("slow" + i, Act.LONG);
+            replica.script.put("slow" + i, Act.LONG);
+            slow.add(new Client.Pg(program.port(0)));
+            slow.get(i).send(false, "id=slow" + i + ",c=any,cluster=1", 4000);
+        }
+        program.awaitFigure("in_flight=40");
+        try (Client.Pg client = new Client.Pg(program.port(0))) {
+            assertEquals("served quick", client.ask(false, "id=quick,c=any,cluster=1", 4000));
+            assertEquals(PgHost.LONG + "served ".length(), client.ask(false, "id=long,c=any,cluster=1", 4000).length());
+            assertEquals("served next", client.ask(false, "id=next,c=any,cluster=1", 4000));
+        }
+        assertEquals(PgHost.LONG + "served ".length(), slow.get(0).answer().length(), "one that reads late gets the whole");
+        for (Client.Pg client : slow) {
+            client.close();
+        }
+        program.awaitFigure("in_flight=0");
+    }
+
+    /** A host that breaks off in the middle of a value: the client can tell, and nothing is sent again. */
+    @Test
+    void longAnswerThatBreaksOffIsCutInItsMiddle() throws IOException {
+        primary.script.put("torn", Act.LONG_TORN);
+        try (Client.Pg client = new Client.Pg(program.port(0))) {
+            client.send(true, "id=torn,c=write,cluster=1", 1000);
+            assertEquals('T', client.in.read());
+            primary.trail.release();
+            int heard = client.in.readAllBytes().length;
+            assertTrue(heard > 0 && heard < PgHost.LONG / 2, "cut after " + heard);
+        } catch (SocketException e) {
+            // Cut while more was on its way: that tells as well.
+        }
+        program.awaitFigure("failed.write=1");
+        assertEquals(1, primary.seen.size());
+    }
+
     /** All of a file counts from SIGHUP on, or nothing of it; an open request keeps its class. */
     @Test
     void settingsAreTakenOverWholeOrNotAtAll() throws IOException {
--- a/src/test/java/mintstair/program/Program.java
+++ b/src/test/java/mintstair/program/Program.java
@@ -33,7 +33,7 @@
 
     Program(String... arguments) throws IOException {
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "mintstair.Main"));
+            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("java.class.path"), "mintstair.Main"));
         command.addAll(List.of(arguments));
         process = new ProcessBuilder(command).redirectErrorStream(true).start();
         StandInHost.daemon(this::read);
--- a/src/test/java/mintstair/standin/PgHost.java
+++ b/src/test/java/mintstair/standin/PgHost.java
@@ -16,6 +16,9 @@
     /** Lets the bytes behind an answer go that TRAILED asks for. */
     public final Semaphore trail = new Semaphore(0);
 
+    /** Of a long value; a torn one ends in its middle when this lets it go. */
+    public static final int LONG = 4 * 1024 * 1024;
+
     public PgHost(String name, boolean primary, long positionMillis) throws IOException {
         super(name, primary, positionMillis);
     }
@@ -46,10 +49,16 @@
                     : new byte[] {'D', -1, -1, -1, -16, 0, 1, -1, -1, -1, 0, 7, 7, 7});
                 continue;
             }
+            if (act == Act.LONG_TORN) {
+                out.write(row("l".repeat(LONG)).bytes(), 0, LONG / 2);
+                trail.acquireUninterruptibly();
+                return;
+            }
             PgWriter words = switch (act) {
                 case TORN -> row(id.group(1)).message('D', '\0', '\1', 99, "short");
                 case MISS -> error("25006");
                 case ERROR -> error("XX000");
+                case LONG -> row("l".repeat(LONG));
                 case FULL -> error("53300");
                 default -> row(id.group(1));
             };
--- a/src/test/java/mintstair/standin/StandInHost.java
+++ b/src/test/java/mintstair/standin/StandInHost.java
@@ -19,7 +19,7 @@
 /** A db host of either protocol: it answers at once, or as its script says for a request's id. */
 public abstract class StandInHost implements AutoCloseable {
     /** What a host does with a request. */
-    public enum Act { SERVE, MISS, ERROR, FULL, BREAK, SILENT, NOISE, TORN, HUGE, TWICE, TRAILED }
+    public enum Act { SERVE, MISS, ERROR, FULL, BREAK, SILENT, NOISE, TORN, HUGE, TWICE, TRAILED, LONG, LONG_TORN }
 
     public final String name;
     public final List<String> seen = Collections.synchronizedList(new ArrayList<>());
--- a/src/test/java/mintstair/wire/ParsersTest.java
+++ b/src/test/java/mintstair/wire/ParsersTest.java
@@ -119,6 +119,40 @@
         }
     }
 
+    /** However it is cut, a long value goes on as it was, before it is whole; where it does not fit, nothing of it does. */
+    @Property(seed = "5", tries = 40)
+    void longValueGoesOnInPartsAsItWas(@ForAll long seed, @ForAll @IntRange(min = 65_537, max = 200_000) int length) {
+        byte[] value = new byte[length];
+        new Random(seed).nextBytes(value);
+        byte[] row = new PgWriter().message('T', '\0', '\1', "payload", 0, '\0', '\0', 17, '\0', '\4', -1, '\0', '\1')
+            .message('D', '\0', '\1', length, value).bytes();
+        byte[] rest = new PgWriter().message('C', "SELECT 1").bytes();
+        byte[] reply = new PgWriter().raw(row).raw(rest).ready().bytes();
+        Framer framer = new PgFramer.OfHost();
+        var parser = new PgProtocol().newParser();
+        ByteArrayOutputStream went = new ByteArrayOutputStream();
+        Reply whole = null;
+        for (byte[] m : cut(framer, repeat(reply, 2), new Random(seed))) {
+            Reply now = parser.take(m);
+            byte[] part = parser.takePart();
+            went.writeBytes(part == null ? new byte[0] : part);
+            if (now != null) {
+                whole = now;
+                assertArrayEquals(row, went.toByteArray());
+                assertArrayEquals(rest, now.body());
+                went.reset();
+            }
+        }
+        assertEquals(ConnectionEnd.SERVED, whole.end());
+        byte[] spoilt = reply.clone();
+        ByteBuffer.wrap(spoilt).putInt(row.length - length - 4, length - 1);
+        var wary = new PgProtocol().newParser();
+        assertThrows(ProtocolException.class, () -> cut(new PgFramer.OfHost(), spoilt, new Random(seed)).forEach(m -> {
+            wary.take(m);
+            assertNull(wary.takePart());
+        }));
+    }
+
     private static void tolerant(Runnable parse) {
         try {
             parse.run();
@@ -140,7 +174,7 @@
     @Example
     void oversizedMessagesAreRefusedBeforeTheyAreHeld() {
         Framer pg = new PgFramer.OfHost();
-        pg.feed(ByteBuffer.allocate(5).put((byte) 'D').putInt(PgFramer.LONGEST + 1).flip());
+        pg.feed(ByteBuffer.allocate(5).put((byte) 'D').putInt(PgFramer.LONGEST_VALUE + 1).flip());
         assertThrows(ProtocolException.class, pg::next);
         Framer mongo = new MongoFramer();
         mongo.feed(ByteBuffer.allocate(16).putInt(Integer.reverseBytes(MongoFramer.LONGEST + 1)).rewind());
