--- a/src/main/java/mintstair/backend/Backends.java
+++ b/src/main/java/mintstair/backend/Backends.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
@@ -37,17 +38,19 @@
     /** Bytes of long answers that wait for their clients, and where they become too many for the heap. */
     final AtomicLong held = new AtomicLong();
     static final long MOST_HELD = 6 * 1024 * 1024;
+    final Random random;
     private final int most;
     final Counters counters;
     private final Map<String, HostPool> pools = new HashMap<>();
     private int open;
 
     public Backends(Loop loop, Protocol protocol, TCPNIOTransport transport, long connectTimeout, long idle,
-            int most, Counters counters) {
+            int most, Random random, Counters counters) {
         this.loop = loop;
         this.protocol = protocol;
         this.transport = transport;
         this.most = most;
+        this.random = random;
         this.counters = counters;
         times(connectTimeout, idle);
         connector = TCPNIOConnectorHandler.builder(transport)
--- a/src/main/java/mintstair/backend/HostPool.java
+++ b/src/main/java/mintstair/backend/HostPool.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Set;
+import mintstair.proxy.Backoff;
 import mintstair.request.ConnectionEnd;
 import mintstair.request.HostList;
 import mintstair.request.Reply;
@@ -15,7 +16,9 @@
 
     /** Kept ready: a request that has to wait for a handshake first comes late by that much. */
     private static final int READY = 2;
+    /** Spare connections of a host that is new, or cannot be reached, are not opened by all proxies at once. */
     private static final long REST = 1_000_000;
+    private static final long REST_MOST = 8_000_000;
     /** What is known of a host that is gone: where the list is only advice, it may still be sent to. */
     private static final long KEPT = 60_000_000;
 
@@ -26,6 +29,7 @@
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
     private InetSocketAddress address;
     private int opening;
+    private final Backoff backoff;
     private long restUntil;
     private boolean serving;
     private long goneSince;
@@ -33,6 +37,8 @@
     HostPool(String name, Backends backends) {
         this.name = name;
         this.backends = backends;
+        backoff = new Backoff(backends.random, REST, REST_MOST);
+        restUntil = backends.loop.now() + (long) (backends.random.nextDouble() * REST);
     }
 
     void listed(HostList.Entry entry) {
@@ -140,6 +146,7 @@
 
     void opened(HostConnection c) {
         opening--;
+        backoff.reset();
         freed(c);
     }
 
@@ -155,7 +162,7 @@
     void openingFailed(HostConnection c, ConnectionEnd why) {
         opening--;
         // A host that is out of reach is not knocked at for the sake of spare connections.
-        restUntil = backends.loop.now() + REST;
+        restUntil = backends.loop.now() + backoff.next();
         closed(c);
         Call first = waiting.pollFirst();
         if (first != null) {
--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -18,6 +18,7 @@
     static final long TICK = 20_000; // what waits, is stuck or silent is looked at no oftener
     static final long STALL = 100_000; // a tick this late: this router stood still; its span is no evidence
     static final long POLL_EVERY = 100_000; // the design's, where neither bounds nor price ask for another
+    static final long POLL_APART = 1_000; // times the routers: the span of first polls after a common start
     static final int POLLS_A_BOUND = 3; // polls within the tightest bound, by the design
     static final double POLL_BUDGET = 0.007; // points of the result (of 1) that timed polls may cost
     static final long RAREST_POLL = 1_000_000; // where the price makes them rarer, hosts are polled on demand
@@ -246,7 +247,9 @@
         }
         if (h == null || h.group != g) {
             h = new Host(e.host(), e.zone(), g, new Limit(settings.routers(), allPrimaries));
-            h.pollDue = now;
+            // Routers that were all told at once do not all ask at once.
+            long apart = Math.min(POLL_EVERY / 2, settings.routers() * POLL_APART);
+            h.pollDue = now + (long) (random.nextDouble() * apart);
             hosts.put(h.name, h);
             g.members.add(h);
         }
--- a/src/main/java/mintstair/discovery/Watch.java
+++ b/src/main/java/mintstair/discovery/Watch.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Random;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
@@ -20,6 +21,7 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import mintstair.config.Json;
+import mintstair.proxy.Backoff;
 import mintstair.proxy.Loop;
 import mintstair.request.HostList;
 
@@ -29,8 +31,9 @@
  */
 public final class Watch {
     private static final long WAIT_MILLIS = 20_000;
+    private static final int OK = 200;
     private static final long RETRY = 100_000;
-    private static final long RETRY_MOST = 1_000_000;
+    private static final long RETRY_MOST = 2_000_000;
 
     private final Loop loop;
     private final InetSocketAddress address;
@@ -39,14 +42,16 @@
     private Connection<?> connection;
     private Future<?> silence;
     private long revision = -1;
-    private int failures;
+    private final Backoff backoff;
     private int calls;
     private boolean ended;
 
-    public Watch(Loop loop, TCPNIOTransport transport, InetSocketAddress address, Consumer<HostList> told) {
+    public Watch(Loop loop, TCPNIOTransport transport, InetSocketAddress address, Random random,
+            Consumer<HostList> told) {
         this.loop = loop;
         this.address = address;
         this.told = told;
+        backoff = new Backoff(random, RETRY, RETRY_MOST);
         connector = TCPNIOConnectorHandler.builder(transport).processor(FilterChainBuilder.stateless()
             .add(new TransportFilter()).add(new HttpClientFilter()).add(new Answers()).build()).build();
     }
@@ -109,7 +114,7 @@
             return;
         }
         drop();
-        loop.at(loop.now() + Math.min(RETRY_MOST, RETRY << Math.min(failures++, 4)), this::start);
+        loop.at(loop.now() + backoff.next(), this::start);
     }
 
     private void drop() {
@@ -127,11 +132,20 @@
         if (by != connection) {
             return;
         }
+        if (status != OK) {
+            // Turned away, as one of many: the list and the connection are as good as before, but not asked for at once.
+            System.err.println("discovery: status " + status);
+            int call = ++calls;
+            giveUpAfter(RETRY_MOST * 2);
+            loop.at(loop.now() + backoff.next(), () -> {
+                if (call == calls && connection == by) {
+                    ask();
+                }
+            });
+            return;
+        }
         HostList list = null;
         try {
-            if (status != 200) {
-                throw new IOException("status " + status);
-            }
             list = ListReader.read(Json.read(body));
         } catch (IOException | IllegalArgumentException e) {
             // A list that cannot be read changes nothing: the last one stands, and the whole is asked for.
@@ -140,7 +154,7 @@
             lost(calls);
             return;
         }
-        failures = 0;
+        backoff.reset();
         revision = list.revision();
         ask();
         told.accept(list);
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -172,7 +173,7 @@
         Service service = tried.add(new PgProtocol(), 16,
             (dispatcher, counters) -> new PgFront(tried.loop, dispatcher, tried.transport, counters, 16));
         service.begin(null, config.known());
-        new Watch(tried.loop, tried.transport, config.discovery(), list -> { });
+        new Watch(tried.loop, tried.transport, config.discovery(), new Random(1), list -> { });
         tried.loop.execute(tried::publish);
         new ControlServer(tried.calls).listen(free);
         tried.rehearse(free);
--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import mintstair.backend.Backends;
 import mintstair.backend.Protocol;
@@ -28,6 +29,7 @@
     final Front front;
     private final Loop loop;
     private final TCPNIOTransport transport;
+    private final Random random;
     private final Backends hosts;
     private final Dispatcher dispatcher;
     private final CompletableFuture<Void> listKnown = new CompletableFuture<>();
@@ -39,8 +41,9 @@
             FrontMaker maker) {
         this.loop = loop;
         this.transport = transport;
+        random = new Random(seed);
         hosts = new Backends(loop, protocol, transport, env.connectTimeout, env.connectionIdle,
-            mostHostConnections, counters);
+            mostHostConnections, random, counters);
         dispatcher = new Dispatcher(loop, new RequestRouter(loop.now(), seed, env), hosts, counters,
             System.out::println);
         front = maker.make(dispatcher, counters);
@@ -70,7 +73,7 @@
         if (watch != null) {
             watch.end();
         }
-        watch = new Watch(loop, transport, address, this::toldByDiscovery);
+        watch = new Watch(loop, transport, address, random, this::toldByDiscovery);
         watch.start();
     }
 
--- a/src/test/java/mintstair/backend/BackendsTest.java
+++ b/src/test/java/mintstair/backend/BackendsTest.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -40,7 +41,7 @@
     @BeforeEach
     void start() throws IOException {
         transport.start();
-        backends = new Backends(loop, new PgProtocol(), transport, SECOND / 4, 15 * SECOND, 50, new Counters());
+        backends = new Backends(loop, new PgProtocol(), transport, SECOND / 4, 15 * SECOND, 50, new Random(1), new Counters());
         host = new PgHost("speaks", true, 5);
         mute = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         ServerSocket closed = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
--- /dev/null
+++ b/src/test/java/mintstair/discovery/WatchTest.java
@@ -0,0 +1,62 @@
+package mintstair.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.net.httpserver.HttpServer;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import mintstair.program.Program;
+import mintstair.proxy.Loop;
+import mintstair.request.HostList;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.junit.jupiter.api.Test;
+
+class WatchTest {
+    private static final byte[] LIST = "{\"rev\":7,\"all\":true,\"targets\":[]}".getBytes();
+
+    /** Guards against adding to a herd: turned away, it asks again later, on its connection, and for no more than before. */
+    @Test
+    void turnedAwayItKeepsItsRevisionAndItsConnection() throws Exception {
+        List<String> asked = new CopyOnWriteArrayList<>();
+        List<Integer> ports = new CopyOnWriteArrayList<>();
+        AtomicInteger calls = new AtomicInteger();
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 50);
+        server.createContext("/registry/instances", exchange -> {
+            asked.add(String.valueOf(exchange.getRequestURI().getQuery()));
+            ports.add(exchange.getRemoteAddress().getPort());
+            exchange.getRequestBody().readAllBytes();
+            int call = calls.incrementAndGet();
+            boolean away = call == 1 || call == 3 || call == 4;
+            exchange.sendResponseHeaders(away ? 503 : 200, away ? -1 : LIST.length);
+            if (!away) {
+                exchange.getResponseBody().write(LIST);
+            }
+            exchange.close();
+        });
+        server.start();
+        TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance().setSelectorRunnersCount(1).build();
+        transport.start();
+        List<HostList> told = new CopyOnWriteArrayList<>();
+        try (Loop loop = new Loop()) {
+            Watch watch = new Watch(loop, transport, server.getAddress(), new Random(1), told::add);
+            loop.execute(watch::start);
+            Program.await(() -> calls.get() > 4 && told.size() > 1, "the list after the refusals");
+            loop.execute(watch::end);
+        } finally {
+            transport.shutdownNow();
+            server.stop(0);
+        }
+        assertEquals("null", asked.get(0));
+        assertEquals("null", asked.get(1), "there is no revision yet");
+        for (int i = 2; i < 5; i++) {
+            assertTrue(asked.get(i).startsWith("index=7&"), asked.toString());
+        }
+        assertEquals(1, ports.subList(0, 5).stream().distinct().count(), "one connection");
+    }
+}
