--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -35,7 +35,7 @@
     static final long MARGIN = 15_000; // kept free before a deadline so that an answer still counts
     static final long TOKEN_SLACK = 1_000; // rounding of a token's age on its way
     static final double READ_WAIT = 0.3, WRITE_WAIT = 0.8; // share of its aim that one waits for room
-    static final double PRIMARY_READS = 0.6; // of the primary's room: writes have no other place
+    static final double PRIMARY_READS = 0.6; // of the primary's room, for reads of little worth: writes stay
     static final double FIRST_LIMIT = 16, FIRST_LIMIT_HERE = 2; // in flight at first, of all routers; of one
     static final double LEAST_LIMIT = 2, LEAST_LIMIT_HERE = 0.02; // the fewest: enough to see a recovery
     static final double LIMIT_UP = 0.02, LIMIT_DOWN = 0.03; // what a swift, a slow answer moves a limit by
@@ -177,9 +177,9 @@
             if (of.freshness() == Freshness.BOUNDED) tightestBound = Math.min(tightestBound, of.bound());
         }
         for (Kind kind : kinds) {
-            double value = best > 0 ? kind.of.worth() / kind.of.aim() / best : 1;
+            kind.worth = best > 0 ? kind.of.worth() / kind.of.aim() / best : 1;
             boolean write = kind.of.freshness() == Freshness.WRITE;
-            kind.room = write ? 1 : LEAST_WORTH_ROOM + (1 - LEAST_WORTH_ROOM) * value;
+            kind.room = write ? 1 : LEAST_WORTH_ROOM + (1 - LEAST_WORTH_ROOM) * kind.worth;
         }
         shares = new Share[settings.tenants().size()];
         Arrays.setAll(shares, i -> new Share(now, SHARE_SAVED));
@@ -579,7 +579,9 @@
         Host p = g.primary;
         if (p == null || !p.ready || q.isAt(p, false) || now - p.fullAt < MISS_REST) return null;
         if (p.silent) return q.repeatable() && p.inFlight == 0 && q.luck < TRIAL_WEIGHT ? p : null;
-        double part = room(q) * (q.needsPrimary() ? 1 : PRIMARY_READS) * warmth(p, now);
+        // Of reads that fall back those of most worth for their time may fill what writes may.
+        double reads = PRIMARY_READS + (1 - PRIMARY_READS) * q.kind.worth;
+        double part = room(q) * (q.needsPrimary() ? 1 : reads) * warmth(p, now);
         // Reads that fall back in mass drown it: but for what its own answers speak for, their sum over all
         // routers stays in its room.
         double heardOf = p.asPrimary.evidence / (p.asPrimary.evidence + POOLED);
--- a/src/main/java/mintstair/decision/RouterState.java
+++ b/src/main/java/mintstair/decision/RouterState.java
@@ -63,7 +63,7 @@
     /** A class of requests and how long its answers take. */
     static final class Kind {
         final RequestClass of;
-        double mean, deviation, room = 1;
+        double mean, deviation, worth = 1, room = 1;
 
         Kind(RequestClass of) {
             this.of = of;
--- a/src/test/java/mintstair/decision/FleetTest.java
+++ b/src/test/java/mintstair/decision/FleetTest.java
@@ -120,6 +120,73 @@
         assertTrue(fell > 100 && fell < 1_800, "primary got " + fell + " of 2900");
     }
 
+    /** Guards against refusing reads of high worth while those of little worth are taken: the primary is all there is. */
+    @Test
+    void readsOfMoreWorthFillMoreOfThePrimary() {
+        long[] sent = new long[2];
+        for (int i = 0; i < 2; i++) {
+            Bed bed = new Bed();
+            bed.oneSession = false;
+            bed.start().list(ListKind.WHOLE, Bed.ready("p"));
+            bed.poll("p", bed.now, Role.PRIMARY);
+            for (int id = 0; id < 200; id++) {
+                bed.request(id, i == 0 ? Bed.BOUNDED : Bed.ANY);
+            }
+            sent[i] = bed.sends.size();
+        }
+        assertTrue(sent[0] > 5 && sent[1] > sent[0] * 4 / 3, "little worth " + sent[0] + ", much " + sent[1]);
+    }
+
+    /** Other settings: an open request keeps its class, a new one has the new class's rules, and the fewer attempts. */
+    @Test
+    void openRequestsKeepTheirClassThroughOtherSettings() {
+        Bed bed = new Bed().start().group();
+        bed.request(1, Bed.ANY);
+        Settings old = bed.settings();
+        List<RequestClass> unsafe = old.classes().stream().map(c -> new RequestClass(c.name(), c.freshness(), Repeat.UNSAFE,
+            c.scope(), c.bound(), c.aim(), c.deadline(), c.window(), c.worth(), c.lateWorth())).toList();
+        bed.router.onSettings(bed.now, with(old, unsafe, old.limits()));
+        bed.outcome(bed.sendsOf(1).get(0), 0, Ending.RESET);
+        assertEquals(2, bed.sendsOf(1).size());
+        bed.request(2, Bed.ANY);
+        bed.outcome(bed.sendsOf(2).get(0), 0, Ending.RESET);
+        assertEquals(1, bed.sendsOf(2).size());
+        assertEquals(List.of(2L), bed.failed);
+        bed.request(3, Bed.ANY);
+        bed.router.onSettings(bed.now, with(old, old.classes(), new Limits(1, true, true, false, true, true, 500 * MS)));
+        bed.outcome(bed.sendsOf(3).get(0), 0, Ending.NO_ROUTE);
+        assertEquals(1, bed.sendsOf(3).size());
+        assertThrows(IllegalArgumentException.class, () -> bed.router.onSettings(bed.now, with(old, old.classes(),
+            new Limits(0, true, true, false, true, true, 500 * MS))));
+        bed.request(4, Bed.ANY);
+        assertEquals(1, bed.sendsOf(4).size(), "what makes no sense changes nothing");
+    }
+
+    private static Settings with(Settings s, List<RequestClass> classes, Limits limits) {
+        return new Settings(s.routers(), s.me(), s.zone(), classes, s.tenants(), s.overShareWorth(), s.rememberedTokens(),
+            s.readCheck(), s.positionsInAnswers(), s.listTellsRole(), s.subscribe(), s.clientsMarkRepeats(), s.probePrice(),
+            s.crossZonePrice(), s.guards(), limits);
+    }
+
+    /** What the people on call are told is what the decisions go by. */
+    @Test
+    void drainingAndSilentHostsAreAvoided() {
+        Bed bed = new Bed().start().group();
+        assertEquals(0, bed.router.avoided(bed.now));
+        bed.state("r1", HostState.DRAINING);
+        assertEquals(1, bed.router.avoided(bed.now));
+        bed.now += 500 * MS;
+        for (int i = 0; i < 20; i++) {
+            bed.request(1_000 + i, Bed.SESSION, 1_200 * MS, 200 * MS);
+            bed.loseOrAnswerPolls("r2");
+            bed.now += 100 * MS;
+            if (!bed.sendsOf(1_000 + i).isEmpty()) bed.outcome(bed.last(), 0, Ending.OK);
+        }
+        assertEquals(2, bed.router.avoided(bed.now));
+        bed.state("r1", HostState.GONE);
+        assertEquals(1, bed.router.avoided(bed.now), "what is gone is not on the list");
+    }
+
     @Test
     void hostListedGoneIsUsedWhileItServesWhereGoneIsAdvice() {
         Bed bed = new Bed();
