--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -34,7 +34,7 @@
     static final long TOKEN_KEPT = 120_000_000; // far longer than a new host's copy is old or a lag lasts
     static final long MARGIN = 15_000; // kept free before a deadline so that an answer still counts
     static final long TOKEN_SLACK = 1_000; // rounding of a token's age on its way
-    static final double READ_WAIT = 0.3, WRITE_WAIT = 0.8; // share of its aim that one waits for room
+    static final double READ_WAIT = 0.13, WRITE_WAIT = 0.8; // share of its aim that one waits for room
     static final double PRIMARY_READS = 0.6; // of the primary's room, for reads of little worth: writes stay
     static final double FIRST_LIMIT = 16, FIRST_LIMIT_HERE = 2; // in flight at first, of all routers; of one
     static final double LEAST_LIMIT = 2, LEAST_LIMIT_HERE = 0.02; // the fewest: enough to see a recovery
@@ -954,11 +954,13 @@
         ask(now, h);
     }
 
-    /** Those who wait, in turn: sent as room appears, given up when waiting longer is of no use. */
+    /** Those who wait, of most worth for their time first: sent as room appears, given up in time. */
     private void serveWaiting(long now, Group g) {
         boolean primary = g.primary != null && g.primary.ready && !g.primary.silent;
-        for (int n = g.waiting.size(); n > 0; n--) {
-            Open q = g.waiting.poll();
+        List<Open> inTurn = new ArrayList<>(g.waiting);
+        inTurn.sort(Comparator.comparingDouble(q -> -q.kind.worth));
+        g.waiting.clear();
+        for (Open q : inTurn) {
             q.waits = false;
             if (q.finished) continue;
             // A keyed repeat's window may have closed while it waited.
--- a/src/test/java/mintstair/decision/FleetTest.java
+++ b/src/test/java/mintstair/decision/FleetTest.java
@@ -137,6 +137,25 @@
         assertTrue(sent[0] > 5 && sent[1] > sent[0] * 4 / 3, "little worth " + sent[0] + ", much " + sent[1]);
     }
 
+    /** Of those who wait for room the ones of most worth for their time go first, whenever they came. */
+    @Test
+    void roomThatAppearsGoesToThoseOfMostWorth() {
+        Bed bed = new Bed();
+        bed.oneSession = false;
+        bed.start().list(ListKind.WHOLE, Bed.ready("p"));
+        bed.poll("p", bed.now, Role.PRIMARY);
+        for (int id = 0; id < 60; id++) {
+            bed.request(id, Bed.UNSAFE_WRITE);
+        }
+        int full = bed.sends.size();
+        bed.request(100, Bed.UNSAFE_WRITE);
+        bed.request(101, Bed.KEYED_WRITE);
+        assertEquals(full, bed.sends.size());
+        bed.outcome(bed.sends.get(0), 0, Ending.OK);
+        assertTrue(bed.sends.size() > full);
+        assertEquals(101, bed.sends.get(full).id(), "4 in 0.75 s before 4 in 1 s");
+    }
+
     /** Other settings: an open request keeps its class, a new one has the new class's rules, and the fewer attempts. */
     @Test
     void openRequestsKeepTheirClassThroughOtherSettings() {
