Let clients that say or ask nothing make room before those that keep their connection

Ruled out: connections closed for want of room unheard (clients_shut_out stays 0), the loop (0.50 cores at most for a second).

--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -45,6 +45,7 @@
     private volatile boolean deaf;
     private volatile int reads;
     private boolean heard;
+    private boolean asked;
     private int writing;
     private boolean closed;
     private boolean closing;
@@ -199,14 +200,23 @@
         finish();
     }
 
-    /** Whether it has said nothing yet that the proxy could read. */
-    final boolean isSilent() {
-        return !heard && !ending;
+    /** Whether it has not sent a byte. */
+    final boolean isMute() {
+        return reads == 0;
     }
 
-    /** Since when it has been doing whatever it does: for a silent one, since it came. */
-    final long since() {
-        return idleSince;
+    /** Whether it has asked for anything. */
+    final boolean hasAsked() {
+        return asked;
+    }
+
+    /** Which of two that have nothing open is to go first: see {@link Front#letOneGo}. */
+    final boolean goesBefore(ClientSession other) {
+        return rank() != other.rank() ? rank() < other.rank() : idleSince < other.idleSince;
+    }
+
+    private int rank() {
+        return isMute() ? 0 : asked ? 2 : 1;
     }
 
     /** Since when nothing has been open here, or never where something is. */
@@ -302,6 +312,7 @@
 
     /** Hands a request on and answers it when its final answer is there. */
     protected final void submit(ProxyRequest request, Consumer<Answer> answer) {
+        asked = true;
         boolean[] answered = new boolean[1];
         Exchange submitted = front.dispatcher.submit(request, new Client() {
             @Override
--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -67,6 +68,7 @@
             // Those past the limit are told so by the loop; a flood that is faster than the loop gets no further.
             if (open.incrementAndGet() > mostClients + slack(mostClients)) {
                 open.decrementAndGet();
+                counters.shutOut.incrementAndGet();
                 connection.terminateSilently();
                 return null;
             }
@@ -89,25 +91,45 @@
             makeRoom(session);
         } else if (sessions.size() > Math.max(FEW, mostClients * CROWDED)) {
             // Clients run short of connections of their own before the descriptors here do.
-            letIdlestGo(IDLE);
+            letOneGo(session, IDLE, false);
+            letIdlestGo();
         }
     }
 
-    /** Lets the one go that has been idle for longest, if it has been for {@code least}: it is looked at once more for a request. */
-    private boolean letIdlestGo(long least) {
+    /**
+     * Lets one client go that has had nothing open for {@code least}: first one that has said nothing yet, then one that has not
+     * asked for anything yet, then, if they may, one that has {@code asked}; of the same sort the one that has been so for longest. Those who ask at once
+     * and keep their connection for the next time must not make room for those who come and say nothing.
+     */
+    private boolean letOneGo(ClientSession but, long least, boolean asked) {
         long now = loop.now();
-        ClientSession idlest = null;
+        ClientSession first = null;
         for (ClientSession session : sessions) {
-            if (now - session.idleSince() > least && !session.isSilent()
-                    && (idlest == null || session.idleSince() < idlest.idleSince())) {
-                idlest = session;
+            if (session != but && now - session.idleSince() >= least && (asked || !session.hasAsked()) && (first == null || session.goesBefore(first))) {
+                first = session;
             }
         }
-        if (idlest != null) {
+        if (first == null) {
+            return false;
+        }
+        if (first.isMute()) {
+            counters.clientsTurnedAway++;
+            first.turnAway();
+        } else {
             counters.clientsIdledOut++;
-            idlest.closeWhenIdle();
+            first.closeWhenIdle();
         }
-        return idlest != null;
+        return true;
+    }
+
+    /** Of those that have asked, lets the one go that has been idle for longest. */
+    private void letIdlestGo() {
+        long before = loop.now() - IDLE;
+        sessions.stream().filter(session -> session.hasAsked() && session.idleSince() <= before)
+            .min(Comparator.comparingLong(ClientSession::idleSince)).ifPresent(idlest -> {
+                counters.clientsIdledOut++;
+                idlest.closeWhenIdle();
+            });
     }
 
     /** How many connections beyond {@code mostClients} may be open while they are told that there is no room. */
@@ -115,28 +137,13 @@
         return Math.max(8, mostClients / 8);
     }
 
-    /**
-     * Lets one client go that has long said nothing, else the one idle for longest, else one that has just come and is silent,
-     * else the newest. One that comes brings a request, while what is idle loses nothing.
-     */
+    /** There is no room: one that comes brings a request, while what is idle loses nothing. */
     private void makeRoom(ClientSession newest) {
-        if (turnSilentAway(newest, IDLE) || letIdlestGo(SHORTLY) || turnSilentAway(newest, 0)) {
-            return;
-        }
-        counters.clientsTurnedAway++;
-        newest.turnAway();
-    }
-
-    private boolean turnSilentAway(ClientSession but, long least) {
-        long before = loop.now() - least;
-        for (ClientSession session : sessions) {
-            if (session != but && session.isSilent() && session.since() <= before) {
-                counters.clientsTurnedAway++;
-                session.turnAway();
-                return true;
-            }
+        if (!letOneGo(newest, SHORTLY, true)) {
+            ClientSession mute = sessions.stream().filter(session -> session != newest && session.isMute()).findFirst().orElse(newest);
+            counters.clientsTurnedAway++;
+            mute.turnAway();
         }
-        return false;
     }
 
     private void sweep() {
--- a/src/main/java/mintstair/stats/Counters.java
+++ b/src/main/java/mintstair/stats/Counters.java
@@ -24,6 +24,8 @@
     public long hostsOpened;
     /** Attempts whose last byte was written to a host; counted where that happens, on any thread. */
     public final AtomicLong written = new AtomicLong();
+    /** Connections closed at once, as more came than could be told that there is no room. */
+    public final AtomicLong shutOut = new AtomicLong();
     public long reloadsOk;
     public long reloadsFailed;
     /** Served, refused and failed of each class; of one that was dropped they stay. */
@@ -68,7 +70,7 @@
             + " failed=" + failed + " abandoned=" + abandoned + " overdue=" + overdue + " malformed=" + malformed
             + " sent=" + sent + " probes=" + probes + " client_connections=" + clientsOpened
             + " clients_turned_away=" + clientsTurnedAway
-            + " clients_idled_out=" + clientsIdledOut + " host_connections=" + hostsOpened);
+            + " clients_shut_out=" + shutOut + " clients_idled_out=" + clientsIdledOut + " host_connections=" + hostsOpened);
         for (ConnectionEnd end : ConnectionEnd.values()) {
             line.append(" ended_").append(end.name().toLowerCase(Locale.ROOT)).append('=')
                 .append(ends[end.ordinal()]);
--- a/src/test/java/mintstair/serve/LimitsTest.java
+++ b/src/test/java/mintstair/serve/LimitsTest.java
@@ -53,10 +53,21 @@
 
     @Test
     void oneClientTooManyIsToldSoAndTheOthersStay() throws IOException {
-        try (Client.Pg first = new Client.Pg(port); Client.Pg second = new Client.Pg(port);
-                Client.Pg third = new Client.Pg(port, true)) {
-            assertEquals("refused 0", third.answer());
-            assertEquals(-1, third.in.read());
+        try (Client.Pg first = new Client.Pg(port); Client.Pg second = new Client.Pg(port)) {
+            // No primary is known, so that these wait.
+            first.send(true, "id=one,c=write,cluster=1", 3000);
+            second.send(true, "id=two,c=write,cluster=1", 3000);
+            String third = "nothing";
+            while (!third.equals("refused 0")) {
+                try (Client.Pg client = new Client.Pg(port, true)) {
+                    client.socket.setSoTimeout(100);
+                    third = client.answer();
+                } catch (SocketTimeoutException e) {
+                    // The requests of the first two are still on their way in.
+                }
+            }
+            assertTrue(first.answer().startsWith("refused "));
+            assertTrue(second.answer().startsWith("refused "));
             second.raw(Client.Pg.query(""));
             assertEquals("empty", second.answer());
             first.raw(Client.Pg.query(""));
@@ -142,6 +153,41 @@
         }
     }
 
+    /** Guards against those who come and ask nothing: one who asked and kept its connection stays in their place. */
+    @Test
+    void thoseWhoHaveNotAskedMakeRoomFirst() throws IOException {
+        try (Client.Pg asked = new Client.Pg(port); Client.Pg fresh = new Client.Pg(port)) {
+            assertTrue(asked.ask(true, "id=a,c=write,cluster=1", 200).startsWith("refused "));
+            fresh.raw(Client.Pg.query(""));
+            assertEquals("empty", fresh.answer(), "the one that was heard last");
+            awaitEnd(fresh);
+            asked.raw(Client.Pg.query(""));
+            assertEquals("empty", asked.answer());
+        }
+    }
+
+    private void awaitEnd(Client.Pg client) throws IOException {
+        awaitEnd(client, port);
+    }
+
+    /** Has others come until this client is let go. */
+    private static void awaitEnd(Client.Pg client, int port) throws IOException {
+        long end = System.nanoTime() + 20_000_000_000L;
+        client.socket.setSoTimeout(25);
+        int heard = 0;
+        while (heard != -1 && System.nanoTime() < end) {
+            try (Client.Pg next = new Client.Pg(port, true)) {
+                next.raw(Client.Pg.startup());
+                heard = client.in.read();
+            } catch (SocketTimeoutException e) {
+                // Not let go yet.
+            } catch (IOException e) {
+                // The next was turned away while its words were on the way.
+            }
+        }
+        assertEquals(-1, heard);
+    }
+
     /** Guards against clients that run short of connections of their own, as they keep them: room is made before the limit. */
     @Test
     void amongManyTheLongestIdleGoesAsOthersCome() throws IOException {
@@ -151,18 +197,7 @@
             for (int i = 0; i < 8; i++) {
                 clients.add(new Client.Pg(roomy));
             }
-            long end = System.nanoTime() + 20_000_000_000L;
-            first.socket.setSoTimeout(20);
-            int heard = 0;
-            while (heard != -1 && System.nanoTime() < end) {
-                new Client.Pg(roomy).close();
-                try {
-                    heard = first.in.read();
-                } catch (SocketTimeoutException e) {
-                    // Not let go yet.
-                }
-            }
-            assertEquals(-1, heard);
+            awaitEnd(first, roomy);
         } finally {
             for (Client.Pg client : clients) {
                 client.close();
