--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -38,7 +38,7 @@
     protected final Dispatcher dispatcher;
     protected final Counters counters;
     final TCPNIOTransport transport;
-    private final int mostClients;
+    private volatile int mostClients;
     private final AtomicInteger open = new AtomicInteger();
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
     private int ahead;
@@ -55,6 +55,11 @@
         loop.at(loop.now() + SWEEP_EVERY, this::sweep);
     }
 
+    /** From now on so many clients may be connected. */
+    public void mostClients(int most) {
+        mostClients = most;
+    }
+
     /** Has what clients say and hear written to a capture file, from now on. */
     public void record(Recorder to) {
         recorder = to;
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -54,6 +54,8 @@
     /** The rehearsal takes no more than this before the front layer is told that this proxy can serve. */
     private static final long REHEARSAL_MILLIS = 2_500;
 
+    /** Longer than an upgrade has two processes: 6 s to become ready, and 3.7 s after SIGTERM. */
+    private static final long OVERLAP = 10_000_000;
     private static final long PUBLISH_EVERY = 100_000;
 
     private final NodeConfig config;
@@ -108,8 +110,10 @@
         }
         transport.start();
         recorder = operator.record() == null ? null : new PcapRecorder(loop, operator.record());
-        Descriptors share = Descriptors.of(config.sockets(), operator.mongodb() == null ? 1 : 2);
-        int most = share.clients();
+        Descriptors share = Descriptors.of(config.sockets(), operator.mongodb() == null ? 1 : 2, control != null);
+        // Beside one that serves this one starts small: until that has let its clients go, both share one limit.
+        boolean beside = Listeners.at(config.listen()) > 0;
+        int most = beside ? share.clients() / 2 : share.clients();
         int hosts = share.hosts();
         add(new PgProtocol(), hosts, (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, most))
             .begin(config.discovery(), config.known());
@@ -120,6 +124,7 @@
                 .begin(mongodb.discovery(), mongodb.hosts());
         }
         loop.execute(this::publish);
+        loop.at(loop.now() + OVERLAP, () -> services.forEach(service -> service.front.mostClients(share.clients())));
         rehearse(config.listen());
         port = services.get(0).open(config.listen(), recorder);
         if (mongodb != null) {
--- a/src/test/java/mintstair/serve/LimitsTest.java
+++ b/src/test/java/mintstair/serve/LimitsTest.java
@@ -103,12 +103,23 @@
     @Test
     void descriptorsAreSharedOutInFull() {
         for (int sockets : new int[] {256, 384, 1024}) {
-            Descriptors share = Descriptors.of(sockets, 1);
+            Descriptors share = Descriptors.of(sockets, 1, false);
             int all = share.clients() + Front.slack(share.clients()) + share.hosts() + Descriptors.OWN;
             assertTrue(all <= sockets && all > sockets * 9 / 10 && share.clients() > sockets / 2, share.toString());
         }
     }
 
+    /** An old process that is full and a new one, with its hosts and half of its clients less the old one's idle, fit one limit. */
+    @Test
+    void successorFindsRoomBesideAFullProcess() {
+        for (int sockets : new int[] {256, 384, 1024}) {
+            Descriptors share = Descriptors.of(sockets, 1, true);
+            int full = share.clients() + Front.slack(share.clients()) + share.hosts() + Descriptors.OWN;
+            assertTrue(full + share.hosts() + Descriptors.OWN <= sockets, share.toString());
+            assertTrue(share.clients() >= sockets / 4, share.toString());
+        }
+    }
+
     /** Guards against a start that waits for its time to run out: in memory nothing has to be waited for. */
     @Test
     void rehearsalComesThroughAndReachesNoHost() throws IOException {
