--- a/src/test/java/mintstair/wire/ParsersTest.java
+++ b/src/test/java/mintstair/wire/ParsersTest.java
@@ -79,6 +79,10 @@
             }
         }
         assertEquals(times, replies);
+        byte[] line = "telemetry\r\n".getBytes(StandardCharsets.US_ASCII);
+        List<byte[]> lines = cut(new LineFramer(), repeat(line, times), random);
+        assertEquals(times, lines.size());
+        lines.forEach(m -> assertArrayEquals(line, m));
         List<byte[]> mongo = cut(new MongoFramer(), repeat(DOCUMENT, times), random);
         assertEquals(times, mongo.size());
         mongo.forEach(m -> assertArrayEquals(DOCUMENT, m));
@@ -95,6 +99,7 @@
         for (byte[] bytes : new byte[][] {garbage, damaged}) {
             tolerant(() -> cut(random.nextBoolean() ? new PgFramer.OfClient() : new PgFramer.OfHost(), bytes, random));
             tolerant(() -> cut(new PgFramer.OfHost(), bytes, random).forEach(new PgProtocol().newParser()::take));
+            tolerant(() -> cut(new LineFramer(), bytes, random));
             tolerant(() -> cut(new MongoFramer(), bytes, random).forEach(new MongoProtocol().newParser()::take));
             if (bytes.length >= 16) {
                 tolerant(() -> MongoMessage.parse(bytes));
