--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -6,13 +6,13 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Arrays;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import mintstair.request.Answer;
 import mintstair.request.Client;
 import mintstair.request.Exchange;
 import mintstair.request.ProxyRequest;
 import mintstair.wire.Framer;
+import mintstair.wire.Intake;
 import mintstair.wire.MessageFilter;
 import mintstair.wire.ProtocolException;
 import org.glassfish.grizzly.Connection;
@@ -40,8 +40,7 @@
     private final Connection<?> connection;
     private final Framer framer;
     private final ArrayDeque<byte[]> commands = new ArrayDeque<>();
-    private final AtomicInteger unread = new AtomicInteger();
-    private volatile boolean paused;
+    private final Intake intake;
     private volatile boolean deaf;
     private volatile int reads;
     private boolean heard;
@@ -64,6 +63,7 @@
         this.front = front;
         this.connection = connection;
         this.framer = framer;
+        intake = new Intake(connection, MOST_UNREAD, MOST_UNREAD, front.unread, Long.MAX_VALUE);
         idleSince = front.loop.now();
     }
 
@@ -94,35 +94,16 @@
         }
         reads++;
         int n = bytes.remaining();
-        if (unread.addAndGet(n) > MOST_UNREAD && !paused) {
-            paused = true;
-            reading(false);
-        }
+        intake.read(n);
         front.loop.execute(() -> {
-            unread.addAndGet(-n);
             record.said(true, bytes.array());
             if (!closed && !ending) {
                 take(bytes);
             }
-            if (paused && unread.get() == 0 && !closed) {
-                paused = false;
-                reading(true);
-            }
+            intake.used(n);
         });
     }
 
-    private void reading(boolean on) {
-        try {
-            if (on) {
-                ((NIOConnection) connection).enableIOEvent(IOEvent.READ);
-            } else {
-                ((NIOConnection) connection).disableIOEvent(IOEvent.READ);
-            }
-        } catch (IOException e) {
-            connection.terminateSilently();
-        }
-    }
-
     private void take(ByteBuffer bytes) {
         boolean partial = framer.pending() > 0;
         framer.feed(bytes);
@@ -164,6 +145,7 @@
     @Override
     public final void closed() {
         front.closed();
+        intake.end();
         front.loop.execute(() -> {
             closed = true;
             forget();
--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import mintstair.proxy.Dispatcher;
 import mintstair.proxy.Loop;
 import mintstair.stats.Counters;
@@ -39,6 +40,7 @@
     protected final Counters counters;
     final TCPNIOTransport transport;
     private volatile int mostClients;
+    final AtomicLong unread = new AtomicLong();
     private final AtomicInteger open = new AtomicInteger();
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
     private int ahead;
