--- a/src/main/java/mintstair/Main.java
+++ b/src/main/java/mintstair/Main.java
@@ -10,7 +10,9 @@
 import mintstair.config.ConfigException;
 import mintstair.config.NodeConfig;
 import mintstair.config.OperatorConfig;
+import mintstair.config.RegistryConfig;
 import mintstair.pcap.Replay;
+import mintstair.registry.RegistryCommand;
 import mintstair.serve.Proxy;
 import mintstair.store.Store;
 
@@ -18,7 +20,8 @@
 public final class Main {
     private static final String USAGE = "usage: java -jar mintstair.jar serve [--operator FILE] [FILE] | check FILE | adapter"
         + " | replay [--to HOST:PORT] [--port PORT] [--mongodb] FILE | store OPERATOR_FILE get KEY"
-        + " | store OPERATOR_FILE put KEY VALUE";
+        + " | store OPERATOR_FILE put KEY VALUE"
+        + " | registry show|watch|put-host|drain|delete OPERATOR_FILE ...";
 
     private Main() { }
 
@@ -35,6 +38,8 @@
                 replay(Arrays.asList(args).subList(1, args.length));
             } else if (args.length >= 4 && args[0].equals("store")) {
                 store(args);
+            } else if (args.length >= 3 && args[0].equals("registry")) {
+                registry(args);
             } else {
                 throw new ConfigException(USAGE);
             }
@@ -88,6 +93,15 @@
         }
     }
 
+    /** Shows, follows or changes what the registry holds. */
+    private static void registry(String[] args) throws IOException {
+        RegistryConfig config = OperatorConfig.read(Path.of(args[2])).registry();
+        if (config == null) {
+            throw new ConfigException(args[2] + ": no registry is set up");
+        }
+        System.exit(new RegistryCommand(config, System.out).run(args[1], Arrays.asList(args).subList(3, args.length)));
+    }
+
     /** Reads or writes one entry of the store, from outside its members. */
     private static void store(String[] args) throws IOException {
         OperatorConfig.Members members = OperatorConfig.read(Path.of(args[1])).store();
--- a/src/main/java/mintstair/backend/HostPool.java
+++ b/src/main/java/mintstair/backend/HostPool.java
@@ -4,10 +4,10 @@
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Set;
-import mintstair.proxy.Backoff;
 import mintstair.request.ConnectionEnd;
 import mintstair.request.HostList;
 import mintstair.request.Reply;
+import mintstair.retry.Backoff;
 
 /** The connections to one db host and the calls that wait for one. */
 final class HostPool {
--- a/src/main/java/mintstair/config/Json.java
+++ b/src/main/java/mintstair/config/Json.java
@@ -1,9 +1,11 @@
 package mintstair.config;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.io.StringWriter;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -57,4 +59,42 @@
             default: return in.getDoubleValue();
         }
     }
+
+    /** The text of a value that {@link #read} gives; whole numbers are written as such. */
+    public static String write(Object value) throws IOException {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = FACTORY.createGenerator(text)) {
+            write(out, value);
+        }
+        return text.toString();
+    }
+
+    private static void write(JsonGenerator out, Object value) throws IOException {
+        if (value instanceof Map<?, ?> map) {
+            out.writeStartObject();
+            for (Map.Entry<?, ?> each : map.entrySet()) {
+                out.writeFieldName(each.getKey().toString());
+                write(out, each.getValue());
+            }
+            out.writeEndObject();
+        } else if (value instanceof List<?> list) {
+            out.writeStartArray();
+            for (Object each : list) {
+                write(out, each);
+            }
+            out.writeEndArray();
+        } else if (value instanceof Number n) {
+            if (n.doubleValue() == n.longValue()) {
+                out.writeNumber(n.longValue());
+            } else {
+                out.writeNumber(n.doubleValue());
+            }
+        } else if (value instanceof Boolean b) {
+            out.writeBoolean(b);
+        } else if (value == null) {
+            out.writeNull();
+        } else {
+            out.writeString(value.toString());
+        }
+    }
 }
--- a/src/main/java/mintstair/discovery/ListReader.java
+++ b/src/main/java/mintstair/config/ListReader.java
@@ -1,11 +1,11 @@
-package mintstair.discovery;
+package mintstair.config;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import mintstair.request.HostList;
 
-/** Discovery's form of the list, from JSON that was read. */
+/** Discovery's form of the list of hosts, which configurations, the store and registries use as well, from JSON that was read. */
 public final class ListReader {
     private ListReader() { }
 
@@ -25,7 +25,8 @@
         return new HostList(revision.longValue(), Boolean.TRUE.equals(map.get("all")), entries);
     }
 
-    private static HostList.Entry entry(Map<?, ?> t) {
+    /** One host; throws {@link IllegalArgumentException} where the value is none. */
+    public static HostList.Entry entry(Map<?, ?> t) {
         String endpoint = text(t, "endpoint");
         if (!endpoint.matches("[^:]+:\\d{1,5}")) {
             throw new IllegalArgumentException("no endpoint: " + endpoint);
--- a/src/main/java/mintstair/config/NodeConfig.java
+++ b/src/main/java/mintstair/config/NodeConfig.java
@@ -5,9 +5,9 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import mintstair.discovery.ListReader;
 import mintstair.request.HostList;
 
 /** What one proxy is told at its start. */
@@ -17,23 +17,42 @@
     /** Reads the file; throws {@link ConfigException} with one plain line where it cannot be used. */
     public static NodeConfig read(Path file) {
         try {
-            Object json = Json.read(Files.readAllBytes(file));
-            if (!(json instanceof Map<?, ?> map)) {
-                throw new ConfigException("not an object");
-            }
-            if (!(map.get("settings") instanceof Map<?, ?> settings)) {
-                throw new ConfigException("settings are missing");
-            }
-            HostList known = map.get("known") == null ? null : ListReader.read(map.get("known"));
-            int sockets = map.get("limits") instanceof Map<?, ?> limits
-                && limits.get("sockets") instanceof Number n ? n.intValue() : 1024;
-            return new NodeConfig(text(map, "name"), address(text(map, "listen")), address(text(map, "discovery")),
-                control(map.get("control")), seed(map.get("seed")), sockets, known, new Env(checked(settings)), map);
+            return of(Json.read(Files.readAllBytes(file)));
         } catch (IOException | IllegalArgumentException | ConfigException e) {
             throw unusable(file, e);
         }
     }
 
+    private static NodeConfig of(Object json) {
+        if (!(json instanceof Map<?, ?> map)) {
+            throw new ConfigException("not an object");
+        }
+        if (!(map.get("settings") instanceof Map<?, ?> settings)) {
+            throw new ConfigException("settings are missing");
+        }
+        HostList known = map.get("known") == null ? null : ListReader.read(map.get("known"));
+        int sockets = map.get("limits") instanceof Map<?, ?> limits
+            && limits.get("sockets") instanceof Number n ? n.intValue() : 1024;
+        return new NodeConfig(text(map, "name"), address(text(map, "listen")), address(text(map, "discovery")),
+            control(map.get("control")), seed(map.get("seed")), sockets, known, new Env(checked(settings)), map);
+    }
+
+    /**
+     * This configuration with other settings, which must be as whole as those of a file read anew; throws
+     * {@link ConfigException} with one plain line that begins with {@code place}.
+     */
+    public NodeConfig withSettings(byte[] settings, String place) {
+        try {
+            Map<Object, Object> changed = new LinkedHashMap<>(json);
+            changed.put("settings", Json.read(settings));
+            NodeConfig read = of(changed);
+            asWholeAs(this, read);
+            return read;
+        } catch (IOException | IllegalArgumentException | ConfigException e) {
+            throw new ConfigException(place + ": " + String.valueOf(e.getMessage()).split("\n")[0]);
+        }
+    }
+
     /**
      * Reads the file anew for a proxy that runs: it must be whole, with all that the file before had but the list as last
      * known, or it cannot be used.
@@ -41,23 +60,27 @@
     public static NodeConfig readAnew(Path file, NodeConfig before) {
         NodeConfig read = read(file);
         try {
-            missing(before.json, read.json, "");
-            List<?> old = classes((Map<?, ?>) before.json.get("settings"));
-            for (Object each : classes((Map<?, ?>) read.json.get("settings"))) {
-                for (Object key : ((Map<?, ?>) old.get(0)).keySet()) {
-                    // What not all classes have, none needs.
-                    boolean needed = old.stream().allMatch(o -> ((Map<?, ?>) o).containsKey(key));
-                    if (needed && !((Map<?, ?>) each).containsKey(key)) {
-                        throw new ConfigException("a class without " + key);
-                    }
-                }
-            }
+            asWholeAs(before, read);
             return read;
         } catch (ConfigException e) {
             throw unusable(file, e);
         }
     }
 
+    private static void asWholeAs(NodeConfig before, NodeConfig read) {
+        missing(before.json, read.json, "");
+        List<?> old = classes((Map<?, ?>) before.json.get("settings"));
+        for (Object each : classes((Map<?, ?>) read.json.get("settings"))) {
+            for (Object key : ((Map<?, ?>) old.get(0)).keySet()) {
+                // What not all classes have, none needs.
+                boolean needed = old.stream().allMatch(o -> ((Map<?, ?>) o).containsKey(key));
+                if (needed && !((Map<?, ?>) each).containsKey(key)) {
+                    throw new ConfigException("a class without " + key);
+                }
+            }
+        }
+    }
+
     private static void missing(Map<?, ?> before, Map<?, ?> now, String path) {
         before.forEach((key, value) -> {
             if (!now.containsKey(key) && !key.equals("known")) {
--- a/src/main/java/mintstair/config/OperatorConfig.java
+++ b/src/main/java/mintstair/config/OperatorConfig.java
@@ -7,11 +7,10 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
-import mintstair.discovery.ListReader;
 import mintstair.request.HostList;
 
 /** What an operator sets up beside the platform's front; every part is off where its name is missing. */
-public record OperatorConfig(Mongo mongodb, Recording record, Members store) {
+public record OperatorConfig(Mongo mongodb, Recording record, Members store, RegistryConfig registry) {
     /** The second front: where it listens, and its hosts, listed here or by a discovery of their own. */
     public record Mongo(InetSocketAddress listen, InetSocketAddress discovery, HostList hosts) { }
 
@@ -21,8 +20,8 @@
     /** The replicated store: this daemon's member of it, all members, and the folder that this one keeps. */
     public record Members(String member, Map<String, InetSocketAddress> members, Path folder) { }
 
-    public static final OperatorConfig NONE = new OperatorConfig(null, null, null);
-    private static final Set<String> NAMES = Set.of("mongodb", "record", "store");
+    public static final OperatorConfig NONE = new OperatorConfig(null, null, null, null);
+    private static final Set<String> NAMES = Set.of("mongodb", "record", "store", "registry");
     private static final long MOST_BYTES = 64 << 20;
 
     /** Reads the file; throws {@link ConfigException} with one plain line where it cannot be used. */
@@ -36,20 +35,25 @@
                     throw new ConfigException("unknown setting " + name);
                 }
             }
-            return new OperatorConfig(map.get("mongodb") instanceof Map<?, ?> m ? mongo(m) : null,
+            RegistryConfig registry = map.get("registry") instanceof Map<?, ?> m ? RegistryConfig.read(m) : null;
+            boolean listed = registry != null && registry.fronts().contains(RegistryConfig.MONGODB);
+            if (listed && map.get("mongodb") == null) {
+                throw new ConfigException("registry lists hosts of mongodb, which is not set up");
+            }
+            return new OperatorConfig(map.get("mongodb") instanceof Map<?, ?> m ? mongo(m, listed) : null,
                 map.get("record") instanceof Map<?, ?> m ? recording(m) : null,
-                map.get("store") instanceof Map<?, ?> m ? members(m) : null);
+                map.get("store") instanceof Map<?, ?> m ? members(m) : null, registry);
         } catch (IOException | IllegalArgumentException | ConfigException e) {
             throw NodeConfig.unusable(file, e);
         }
     }
 
-    private static Mongo mongo(Map<?, ?> m) throws IOException {
+    private static Mongo mongo(Map<?, ?> m, boolean listed) throws IOException {
         InetSocketAddress discovery = m.get("discovery") == null ? null
             : NodeConfig.address(NodeConfig.text(m, "discovery"));
         HostList hosts = m.get("hosts") == null ? null : ListReader.read(m.get("hosts"));
-        if (discovery == null && hosts == null) {
-            throw new ConfigException("mongodb needs hosts or discovery");
+        if (discovery == null && hosts == null && !listed) {
+            throw new ConfigException("mongodb needs hosts or discovery, or a registry");
         }
         return new Mongo(NodeConfig.address(NodeConfig.text(m, "listen")), discovery, hosts);
     }
--- a/src/main/java/mintstair/discovery/Watch.java
+++ b/src/main/java/mintstair/discovery/Watch.java
@@ -21,9 +21,10 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import mintstair.config.Json;
-import mintstair.proxy.Backoff;
+import mintstair.config.ListReader;
 import mintstair.proxy.Loop;
 import mintstair.request.HostList;
+import mintstair.retry.Backoff;
 
 /**
  * Keeps a watch on discovery: the whole list first, then one call for changes after the other. The next call
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -13,12 +13,16 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import mintstair.backend.Protocol;
 import mintstair.backend.mongo.MongoProtocol;
 import mintstair.backend.pg.PgProtocol;
 import mintstair.config.NodeConfig;
 import mintstair.config.OperatorConfig;
+import mintstair.config.RegistryConfig;
 import mintstair.control.Calls;
 import mintstair.control.ControlServer;
 import mintstair.discovery.Watch;
@@ -26,6 +30,7 @@
 import mintstair.front.mongo.MongoFront;
 import mintstair.front.pg.PgFront;
 import mintstair.proxy.Loop;
+import mintstair.registry.view.Told;
 import mintstair.request.HostList;
 import mintstair.routing.RequestRouter;
 import mintstair.stats.Figures;
@@ -70,9 +75,13 @@
     private final List<Service> services = new ArrayList<>();
     private PcapRecorder recorder;
     private StoreKeeper keeper;
+    private RegistryKeeper registry;
+    /** Settings come from the file's thread and from the registry's. */
+    private NodeConfig current;
 
     public Proxy(NodeConfig config, OperatorConfig operator) {
         this.config = config;
+        current = config;
         longestDeadline = longest(config);
         this.operator = operator;
         transport = transport();
@@ -116,12 +125,17 @@
         int most = beside ? share.clients() / 2 : share.clients();
         int hosts = share.hosts();
         add(new PgProtocol(), hosts, (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, most))
-            .begin(config.discovery(), config.known());
+            .begin(registered(RegistryConfig.POSTGRESQL) ? null : config.discovery(), config.known(), true);
         OperatorConfig.Mongo mongodb = operator.mongodb();
         if (mongodb != null) {
             add(new MongoProtocol(), hosts,
                 (dispatcher, counters) -> new MongoFront(loop, dispatcher, transport, counters, most))
-                .begin(mongodb.discovery(), mongodb.hosts());
+                .begin(registered(RegistryConfig.MONGODB) ? null : mongodb.discovery(), mongodb.hosts(),
+                    mongodb.discovery() != null || registered(RegistryConfig.MONGODB));
+        }
+        if (operator.registry() != null) {
+            registry = new RegistryKeeper(operator.registry(), config.seed(), loop::execute, this::registered, this::takeSettings);
+            registry.start();
         }
         loop.execute(this::publish);
         loop.at(loop.now() + OVERLAP, () -> services.forEach(service -> service.front.mostClients(share.clients())));
@@ -153,6 +167,9 @@
     private void publish() {
         Figures.Sum sum = new Figures.Sum();
         services.forEach(service -> service.addTo(sum));
+        if (registry != null) {
+            registry.addTo(sum);
+        }
         figures = sum.figures();
         loop.at(loop.now() + PUBLISH_EVERY, this::publish);
     }
@@ -187,7 +204,7 @@
         InetSocketAddress free = new InetSocketAddress("127.0.0.1", 0);
         Service service = tried.add(new PgProtocol(), 16,
             (dispatcher, counters) -> new PgFront(tried.loop, dispatcher, tried.transport, counters, 16));
-        service.begin(null, config.known());
+        service.begin(null, config.known(), false);
         new Watch(tried.loop, tried.transport, config.discovery(), new Random(1), list -> { });
         tried.loop.execute(tried::publish);
         new ControlServer(tried.calls).listen(free);
@@ -213,26 +230,50 @@
         Signal.handle(new Signal("HUP"), signal -> reload(file));
     }
 
-    /** Goes over to all of the file on the loop at once; a file that cannot be used changes nothing. */
-    private synchronized void reload(Path file) {
+    private void reload(Path file) {
+        takeOver(() -> NodeConfig.readAnew(file, config), read -> {
+            if (!registered(RegistryConfig.POSTGRESQL)) {
+                services.get(0).discover(read.discovery());
+            }
+        }, read -> "configuration read anew: " + read.env().classes.size() + " classes, discovery at "
+            + read.discovery().getHostString() + ":" + read.discovery().getPort());
+    }
+
+    /** Settings that the registry holds count as those of a file read anew. */
+    private void takeSettings(byte[] text, long revision) {
+        takeOver(() -> current.withSettings(text, "settings at revision " + revision), read -> { },
+            read -> "settings taken over from the registry at revision " + revision + ": " + read.env().classes.size() + " classes");
+    }
+
+    /** Goes over to a configuration on the loop at once; one that cannot be used changes nothing. */
+    private synchronized void takeOver(Supplier<NodeConfig> reading, Consumer<NodeConfig> besides, Function<NodeConfig, String> line) {
         try {
-            NodeConfig read = NodeConfig.readAnew(file, config);
+            NodeConfig read = reading.get();
             // What the module itself would turn down must not get as far as the loop.
             new RequestRouter(loop.now(), 0, read.env());
             longestDeadline = longest(read);
+            current = read;
             loop.execute(() -> {
                 services.forEach(service -> service.settings(read.env()));
-                services.get(0).discover(read.discovery());
+                besides.accept(read);
                 services.get(0).counters.reloadsOk++;
             });
-            System.out.println("configuration read anew: " + read.env().classes.size() + " classes, discovery at "
-                + read.discovery().getHostString() + ":" + read.discovery().getPort());
+            System.out.println(line.apply(read));
         } catch (RuntimeException e) {
             loop.execute(() -> services.get(0).counters.reloadsFailed++);
             System.err.println("mintstair: the old settings stay: " + String.valueOf(e.getMessage()).split("\n")[0]);
         }
     }
 
+    /** Whether the registry stands in for the discovery of this front. */
+    private boolean registered(String front) {
+        return operator.registry() != null && operator.registry().fronts().contains(front);
+    }
+
+    private void registered(Told.Hosts told) {
+        services.get(told.front().equals(RegistryConfig.MONGODB) ? 1 : 0).told(told.list(), told.old());
+    }
+
     private static long longest(NodeConfig config) {
         return config.env().settings.classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
     }
@@ -260,6 +301,9 @@
             recorder.flush();
         }
         System.out.flush();
+        if (registry != null) {
+            registry.close();
+        }
         closeStore();
         Runtime.getRuntime().halt(0);
     }
--- /dev/null
+++ b/src/main/java/mintstair/serve/RegistryKeeper.java
@@ -0,0 +1,76 @@
+package mintstair.serve;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import mintstair.config.RegistryConfig;
+import mintstair.registry.RegistryClient;
+import mintstair.registry.view.RegistryView;
+import mintstair.registry.view.Times;
+import mintstair.registry.view.Told;
+import mintstair.registry.view.ViewFigures;
+import mintstair.stats.Figures;
+
+/** The registry in place of discovery: its lists go to the loop, its settings to be checked, its lines to the log. */
+final class RegistryKeeper implements AutoCloseable {
+    /** Takes settings that the registry holds; on the registry's thread. */
+    interface SettingsTaker {
+        void take(byte[] text, long revision);
+    }
+
+    private final RegistryClient client;
+    private final ListHandover handover;
+
+    RegistryKeeper(RegistryConfig config, long seed, Executor loop, Consumer<Told.Hosts> hosts, SettingsTaker settings) {
+        handover = new ListHandover(loop, hosts);
+        client = new RegistryClient(config, Times.USUAL, seed, (told, view) -> told(told, view, settings));
+    }
+
+    void start() {
+        client.start();
+    }
+
+    private void told(List<Told> told, RegistryView view, SettingsTaker settings) {
+        List<Told.Hosts> hosts = hosts(told);
+        handover.offer(hosts, () -> hosts(view.everything()));
+        for (Told each : told) {
+            if (each instanceof Told.Settings s) {
+                settings.take(s.text(), s.revision());
+            } else if (each instanceof Told.Line line) {
+                System.err.println(line.text());
+            }
+        }
+    }
+
+    private static List<Told.Hosts> hosts(List<Told> told) {
+        List<Told.Hosts> hosts = new ArrayList<>();
+        for (Told each : told) {
+            if (each instanceof Told.Hosts h) {
+                hosts.add(h);
+            }
+        }
+        return hosts;
+    }
+
+    /** Adds where the view stands to the figures of the second address; from any thread. */
+    void addTo(Figures.Sum sum) {
+        ViewFigures f = client.figures();
+        sum.add("registry_live", f.live() ? 1 : 0).add("registry_revision", f.revision())
+            .add("registry_age_ms", f.age() < 0 ? -1 : f.age() / 1000).add("registry_hosts", f.hosts())
+            .add("registry_digest", f.digest()).add("registry_endpoint", f.endpoint())
+            .add("registry_conflated", handover.conflated());
+        for (String name : List.of("breaks", "readings", "compacted", "replaced", "set_back", "unreadable", "overflown")) {
+            sum.add("registry_" + name, 0);
+        }
+        for (Map.Entry<String, Long> count : f.counts().entrySet()) {
+            sum.add("registry_" + count.getKey(), count.getValue());
+        }
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+}
--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -50,9 +50,10 @@
         env.classes.keySet().forEach(counters::knows);
     }
 
-    private void toldByDiscovery(HostList list) {
-        dispatcher.listed(list, false);
-        if (!told) {
+    /** Takes what discovery, or the registry in its place, tells; {@code old} where that is what it knew at the last run; on the loop. */
+    void told(HostList list, boolean old) {
+        dispatcher.listed(list, old);
+        if (!told && !old) {
             told = true;
             loop.at(loop.now() + POLLED_AFTER, () -> listKnown.complete(null));
         }
@@ -73,7 +74,7 @@
         if (watch != null) {
             watch.end();
         }
-        watch = new Watch(loop, transport, address, random, this::toldByDiscovery);
+        watch = new Watch(loop, transport, address, random, list -> told(list, false));
         watch.start();
     }
 
@@ -87,11 +88,14 @@
         Front make(Dispatcher dispatcher, Counters counters);
     }
 
-    /** Begins to look for hosts: from the list as last known, and from discovery where there is one. */
-    void begin(InetSocketAddress discovery, HostList known) {
+    /**
+     * Begins to look for hosts: from the list as last known, which is old where another tells of hosts, and from discovery where
+     * there is one.
+     */
+    void begin(InetSocketAddress discovery, HostList known, boolean old) {
         loop.execute(() -> {
             if (known != null) {
-                dispatcher.listed(known, discovery != null);
+                dispatcher.listed(known, old);
             }
             if (discovery != null) {
                 discover(discovery);
--- a/src/main/java/mintstair/serve/StoreKeeper.java
+++ b/src/main/java/mintstair/serve/StoreKeeper.java
@@ -9,7 +9,7 @@
 import java.util.function.Supplier;
 import mintstair.config.Json;
 import mintstair.config.OperatorConfig;
-import mintstair.discovery.ListReader;
+import mintstair.config.ListReader;
 import mintstair.request.HostList;
 import mintstair.store.Store;
 
--- a/src/test/java/mintstair/proxy/BackoffTest.java
+++ b/src/test/java/mintstair/retry/BackoffTest.java
@@ -1,4 +1,4 @@
-package mintstair.proxy;
+package mintstair.retry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/mintstair/serve/BothFrontsTest.java
+++ b/src/test/java/mintstair/serve/BothFrontsTest.java
@@ -17,7 +17,7 @@
 import mintstair.backend.pg.PgProtocol;
 import mintstair.config.Env;
 import mintstair.config.Json;
-import mintstair.discovery.ListReader;
+import mintstair.config.ListReader;
 import mintstair.front.mongo.MongoFront;
 import mintstair.front.pg.PgFront;
 import mintstair.program.Program;
@@ -90,7 +90,7 @@
             Service service = new Service(loop, transport, protocol, 20261201, env, 100, (dispatcher, counters) -> pg
                 ? new PgFront(loop, dispatcher, transport, counters, 10)
                 : new MongoFront(loop, dispatcher, transport, counters, 10));
-            service.begin(null, list);
+            service.begin(null, list, false);
             int port = service.open(new InetSocketAddress("127.0.0.1", 0), null);
             List<String> answers = new ArrayList<>();
             try (Client client = pg ? new Client.Pg(port) : new Client.Mongo(port)) {
--- a/src/test/java/mintstair/serve/LimitsTest.java
+++ b/src/test/java/mintstair/serve/LimitsTest.java
@@ -41,7 +41,7 @@
         HostList.Entry replica = new HostList.Entry("r", "127.0.0.1:9", "z", 1, HostList.State.SERVING, false, 1, 0);
         Service service = new Service(loop, transport, new PgProtocol(), 1, env(), 10,
             (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, mostClients));
-        service.begin(null, new HostList(1, true, List.of(replica)));
+        service.begin(null, new HostList(1, true, List.of(replica)), false);
         return service.open(new InetSocketAddress("127.0.0.1", 0), null);
     }
 
--- /dev/null
+++ b/src/test/java/mintstair/standin/RegistryModel.java
@@ -0,0 +1,110 @@
+package mintstair.standin;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import mintstair.registry.view.Change;
+import mintstair.registry.view.Item;
+
+/** A key-value registry's history, as its API describes it: one revision a transaction, compaction, another history after a restore. */
+public final class RegistryModel {
+    public long cluster = 0xC1;
+    public long term = 1_000;
+    public long revision = 1;
+    public long compacted;
+    /** The changes of each revision from the first on, the compacted ones too: they are only not given out any more. */
+    private List<List<Change>> history = new ArrayList<>(List.of(List.of(), List.of()));
+    private TreeMap<String, Item> now = new TreeMap<>();
+    private long cachedAt = -1;
+    private TreeMap<String, Item> cached;
+
+    /** Its history as it is now, for one who remembers it after a restore. */
+    public synchronized RegistryModel copy() {
+        RegistryModel copy = new RegistryModel();
+        copy.history = new ArrayList<>(history);
+        copy.now = new TreeMap<>(now);
+        copy.revision = revision;
+        return copy;
+    }
+
+    /** One transaction; a null value deletes. */
+    public synchronized long change(Map<String, String> values) {
+        long at = revision + 1;
+        List<Change> changes = new ArrayList<>();
+        values.forEach((key, value) -> {
+            Item before = now.get(key);
+            if (value != null) {
+                Item item = new Item(key, value.getBytes(StandardCharsets.UTF_8), before == null ? at : before.created(), at);
+                now.put(key, item);
+                changes.add(new Change(false, item));
+            } else if (before != null) {
+                now.remove(key);
+                changes.add(new Change(true, new Item(key, new byte[0], 0, at)));
+            }
+        });
+        if (!changes.isEmpty()) {
+            history.add(changes);
+            revision = at;
+            notifyAll();
+        }
+        return revision;
+    }
+
+    public long put(String key, String value) {
+        return change(Map.of(key, value));
+    }
+
+    public long delete(String key) {
+        Map<String, String> gone = new TreeMap<>();
+        gone.put(key, null);
+        return change(gone);
+    }
+
+    public synchronized void compact(long at) {
+        compacted = Math.max(compacted, Math.min(at, revision));
+    }
+
+    /** Goes back to what it was at that revision, as a registry restored from a backup does. */
+    public synchronized void restore(long at, long newCluster) {
+        now = new TreeMap<>(at(at));
+        history = new ArrayList<>(history.subList(0, (int) at + 1));
+        revision = at;
+        compacted = Math.min(compacted, at);
+        cluster = newCluster;
+        term -= 10;
+        cachedAt = -1;
+        notifyAll();
+    }
+
+    public synchronized TreeMap<String, Item> now() {
+        return new TreeMap<>(now);
+    }
+
+    /** What there was at a revision. */
+    public synchronized TreeMap<String, Item> at(long at) {
+        if (at == revision) {
+            return now;
+        }
+        if (cachedAt != at) {
+            cached = new TreeMap<>();
+            for (int r = 0; r <= at; r++) {
+                for (Change c : history.get(r)) {
+                    if (c.deleted()) {
+                        cached.remove(c.item().key());
+                    } else {
+                        cached.put(c.item().key(), c.item());
+                    }
+                }
+            }
+            cachedAt = at;
+        }
+        return cached;
+    }
+
+    /** The changes of one revision. */
+    public synchronized List<Change> changes(long at) {
+        return history.get((int) at);
+    }
+}
--- a/src/test/java/mintstair/wire/ParsersTest.java
+++ b/src/test/java/mintstair/wire/ParsersTest.java
@@ -18,7 +18,7 @@
 import mintstair.backend.mongo.MongoProtocol;
 import mintstair.backend.pg.PgProtocol;
 import mintstair.config.Json;
-import mintstair.discovery.ListReader;
+import mintstair.config.ListReader;
 import mintstair.request.ConnectionEnd;
 import mintstair.request.HostRole;
 import mintstair.request.Reply;
