--- a/src/main/java/mintstair/config/Env.java
+++ b/src/main/java/mintstair/config/Env.java
@@ -55,6 +55,11 @@
             limits(map(env, "limits")));
     }
 
+    /** The longest time, in microseconds, that a request of any class may wait. */
+    public long longestDeadline() {
+        return settings.classes().stream().mapToLong(RequestClass::deadline).max().orElse(0);
+    }
+
     private static RequestClass requestClass(Map<?, ?> c, Map<?, ?> info, int index) {
         Repeat repeat = switch (string(c, "repeat", "at_most_once")) {
             case "idempotent" -> Repeat.SAFE;
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -82,7 +82,7 @@
     public Proxy(NodeConfig config, OperatorConfig operator) {
         this.config = config;
         current = config;
-        longestDeadline = longest(config);
+        longestDeadline = config.env().longestDeadline();
         this.operator = operator;
         transport = transport();
     }
@@ -251,7 +251,7 @@
             NodeConfig read = reading.get();
             // What the module itself would turn down must not get as far as the loop.
             new RequestRouter(loop.now(), 0, read.env());
-            longestDeadline = longest(read);
+            longestDeadline = read.env().longestDeadline();
             current = read;
             loop.execute(() -> {
                 services.forEach(service -> service.settings(read.env()));
@@ -274,10 +274,6 @@
         services.get(told.front().equals(RegistryConfig.MONGODB) ? 1 : 0).told(told.list(), told.old());
     }
 
-    private static long longest(NodeConfig config) {
-        return config.env().settings.classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
-    }
-
     /** On SIGTERM: what arrives for a while is served, what is held is finished, then the program ends well. */
     private void finish() {
         calls.takesClients(false);
--- a/src/test/java/mintstair/LayeringTest.java
+++ b/src/test/java/mintstair/LayeringTest.java
@@ -1,49 +1,76 @@
 package mintstair;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.List;
-import java.util.stream.Stream;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaAccess;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
-/** The core knows no wire, and network code none of the module's events and actions. */
+/** The core knows no wire, network code none of the module's events and actions, and modules without I/O are without it. */
 class LayeringTest {
-    private static final Path SOURCES = Path.of("src/main/java/mintstair");
-
-    private static List<String> lines(String folder, String... forbidden) throws IOException {
-        try (Stream<Path> files = Files.walk(SOURCES.resolve(folder))) {
-            List<Path> sources = files.filter(f -> f.toString().endsWith(".java")).toList();
-            assertTrue(!sources.isEmpty(), folder);
-            return sources.stream().flatMap(f -> read(f).stream().filter(line -> Stream.of(forbidden)
-                .anyMatch(line::contains)).map(line -> f + ": " + line)).toList();
-        }
+    /** Modules that decide: their time and chance come from outside, and nothing leaves them but what they return. */
+    private static final String[] PURE = {"mintstair.decision..", "mintstair.routing..", "mintstair.retry..", "mintstair.registry.view.."};
+    private static final JavaClasses PROGRAM = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+        .importPackages("mintstair");
+
+    private static ArchRule uses(String[] packages, String... forbidden) {
+        return noClasses().that().resideInAnyPackage(packages).should().dependOnClassesThat().resideInAnyPackage(forbidden);
+    }
+
+    /** Reading the clock, or chance that nobody seeds. */
+    private static ArchRule clocksIn(String... packages) {
+        Set<String> calls = Set.of("java.lang.System.currentTimeMillis", "java.lang.System.nanoTime", "java.time.Instant.now",
+            "java.lang.Math.random");
+        return noClasses().that().resideInAnyPackage(packages).should().callMethodWhere(
+            new DescribedPredicate<JavaAccess<?>>("reads a clock") {
+                @Override
+                public boolean test(JavaAccess<?> access) {
+                    return calls.contains(access.getTargetOwner().getFullName() + "." + access.getTarget().getName());
+                }
+            });
     }
 
-    private static List<String> read(Path file) {
-        try {
-            return Files.readAllLines(file);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+    @Test
+    void coreKnowsNoWire() {
+        uses(new String[] {"mintstair.decision..", "mintstair.request..", "mintstair.routing..", "mintstair.proxy.."},
+            "org.glassfish.grizzly..", "org.bson..", "io.grpc..", "mintstair.wire..", "mintstair.front..", "mintstair.backend..",
+            "mintstair.registry..", "java.net..", "java.nio.channels..").check(PROGRAM);
+    }
+
+    @Test
+    void networkCodeNeverSeesTheModule() {
+        uses(new String[] {"mintstair.front..", "mintstair.backend..", "mintstair.discovery..", "mintstair.wire..", "mintstair.serve..",
+            "mintstair.proxy..", "mintstair.registry.."}, "mintstair.decision..").check(PROGRAM);
+    }
+
+    @Test
+    void configurationLeansOnNoPartThatItConfigures() {
+        uses(new String[] {"mintstair.config.."}, "mintstair.discovery..", "mintstair.registry..", "mintstair.store..",
+            "mintstair.proxy..", "mintstair.serve..").check(PROGRAM);
     }
 
     @Test
-    void coreKnowsNoWire() throws IOException {
-        for (String core : List.of("decision", "request", "routing", "proxy")) {
-            assertEquals(List.of(), lines(core, "grizzly", "org.bson", "mintstair.wire", "mintstair.front",
-                "mintstair.backend", "java.net.", "java.nio.channels"));
-        }
+    void modulesWithoutInputAndOutputHaveNone() {
+        uses(PURE, "java.net..", "java.nio.file..", "java.nio.channels..", "java.util.concurrent..", "org.glassfish.grizzly..", "io.grpc..").because(
+            "they are played in virtual time").check(PROGRAM);
+        clocksIn(PURE).check(PROGRAM);
+        noClasses().that().resideInAnyPackage(PURE).should().dependOnClassesThat().areAssignableTo(Thread.class).check(PROGRAM);
+        classes().that().resideInAPackage("mintstair.registry.view..").should().onlyDependOnClassesThat().resideInAnyPackage(
+            "mintstair.registry.view..", "mintstair.config..", "mintstair.request..", "mintstair.retry..", "java..").check(PROGRAM);
     }
 
+    /** The rules catch what they are for: the same said of packages that do read clocks and open sockets fails. */
     @Test
-    void networkCodeNeverSeesTheModule() throws IOException {
-        for (String network : List.of("front", "backend", "discovery", "wire", "serve", "proxy")) {
-            assertEquals(List.of(), lines(network, "mintstair.decision"));
-        }
+    void theRulesCatchWhatTheyAreFor() {
+        assertThrows(AssertionError.class, () -> clocksIn("mintstair.registry..").check(PROGRAM));
+        assertThrows(AssertionError.class, () -> uses(new String[] {"mintstair.discovery.."}, "java.net..").check(PROGRAM));
+        assertThrows(AssertionError.class, () -> uses(new String[] {"mintstair.store.."}, "java.util.concurrent..").check(PROGRAM));
     }
 }
--- a/src/test/java/mintstair/registry/ScheduleTest.java
+++ b/src/test/java/mintstair/registry/ScheduleTest.java
@@ -74,6 +74,7 @@
         private List<Change> rest = List.of();
         private long progressAsked;
         private boolean majorityTold;
+        private final List<Event> heard = new ArrayList<>();
 
         World(int seed, boolean watched) {
             this.seed = seed;
@@ -112,6 +113,11 @@
                     }
                 }
                 case 10, 11, 12 -> pass(dice.nextInt(300_000));
+                case 13 -> {
+                    if (!heard.isEmpty()) {
+                        late();
+                    }
+                }
                 default -> deliver();
             }
         }
@@ -142,7 +148,7 @@
             if (open != null) {
                 Order over = open;
                 open = null;
-                take(view.on(now, new Event.Ended(number(over), reason, "by the dice")));
+                hear(new Event.Ended(number(over), reason, "by the dice"));
             }
         }
 
@@ -165,17 +171,17 @@
                 long at = r.revision() == 0 ? model.revision : r.revision();
                 open = null;
                 if (at <= model.compacted && at < model.revision && r.revision() > 0) {
-                    take(view.on(now, new Event.Compacted(r.call())));
+                    hear(new Event.Compacted(r.call()));
                 } else if (at > model.revision) {
-                    take(view.on(now, new Event.Ended(r.call(), Event.Reason.LAGS, "a future revision")));
+                    hear(new Event.Ended(r.call(), Event.Reason.LAGS, "a future revision"));
                 } else {
                     List<Item> all = new ArrayList<>(model.at(at).tailMap(r.from()).values());
                     int size = Math.min(all.size(), 1 + dice.nextInt(3));
-                    take(view.on(now, new Event.Page(r.call(), header(model.revision), all.subList(0, size), size < all.size())));
+                    hear(new Event.Page(r.call(), header(model.revision), all.subList(0, size), size < all.size()));
                 }
             } else if (open instanceof Order.Check c && !silent[c.endpoint()]) {
                 open = null;
-                take(view.on(now, new Event.Checked(c.call(), header(model.revision))));
+                hear(new Event.Checked(c.call(), header(model.revision)));
             } else if (open instanceof Order.Watch w && !silent[w.endpoint()]) {
                 watch(w);
             } else if (open instanceof Order.Poll p && !silent[p.endpoint()]) {
@@ -194,14 +200,14 @@
                 sentUpTo = w.revision() - 1;
                 if (w.revision() <= model.compacted && w.revision() <= reached) {
                     open = null;
-                    take(view.on(now, new Event.Compacted(w.call())));
+                    hear(new Event.Compacted(w.call()));
                 } else {
-                    take(view.on(now, new Event.Watching(w.call(), header(reached))));
+                    hear(new Event.Watching(w.call(), header(reached)));
                 }
             } else if (!rest.isEmpty()) {
                 List<Change> part = rest.subList(0, 1);
                 rest = rest.subList(1, rest.size());
-                take(view.on(now, new Event.Batch(w.call(), header(reached), part, !rest.isEmpty())));
+                hear(new Event.Batch(w.call(), header(reached), part, !rest.isEmpty()));
             } else if (sentUpTo < reached) {
                 List<Change> changes = new ArrayList<>();
                 // Whole revisions, one or several, and now and then one that was sent before.
@@ -212,16 +218,16 @@
                 }
                 if (changes.size() > 1 && dice.nextBoolean()) {
                     rest = changes.subList(1, changes.size());
-                    take(view.on(now, new Event.Batch(w.call(), header(reached), changes.subList(0, 1), true)));
+                    hear(new Event.Batch(w.call(), header(reached), changes.subList(0, 1), true));
                 } else {
-                    take(view.on(now, new Event.Batch(w.call(), header(reached), changes, false)));
+                    hear(new Event.Batch(w.call(), header(reached), changes, false));
                 }
             } else if (progressAsked == w.call() && !majorityTold) {
                 majorityTold = true;
-                take(view.on(now, new Event.Reached(w.call(), header(model.revision))));
+                hear(new Event.Reached(w.call(), header(model.revision)));
             } else if (progressAsked == w.call()) {
                 progressAsked = 0;
-                take(view.on(now, new Event.Progress(w.call(), header(reached))));
+                hear(new Event.Progress(w.call(), header(reached)));
             }
         }
 
@@ -229,12 +235,12 @@
             long reached = p.sure() ? model.revision : reached(p.endpoint());
             if (p.index() == 0 || reached != p.index()) {
                 open = null;
-                take(view.on(now, new Event.Whole(p.call(), reached, List.copyOf(model.at(reached).values()),
-                    p.sure() || lag[p.endpoint()] < 0)));
+                hear(new Event.Whole(p.call(), reached, List.copyOf(model.at(reached).values()),
+                    p.sure() || lag[p.endpoint()] < 0));
             } else if (progressAsked == p.call()) {
                 progressAsked = 0;
                 if (lag[p.endpoint()] < 0) {
-                    take(view.on(now, new Event.Progress(p.call(), new Header(0, 0, 0))));
+                    hear(new Event.Progress(p.call(), new Header(0, 0, 0)));
                 } else {
                     end(Event.Reason.NO_LEADER);
                 }
@@ -246,6 +252,20 @@
                 : order instanceof Order.Check c ? c.call() : order instanceof Order.Poll p ? p.call() : -1;
         }
 
+        private void hear(Event event) {
+            heard.add(event);
+            take(view.on(now, event));
+        }
+
+        /** Something of a call that is over comes late. */
+        private void late() {
+            Event event = heard.get(dice.nextInt(heard.size()));
+            if (open == null || event.call() != number(open)) {
+                take(view.on(now, event));
+            }
+            heard.subList(0, Math.max(0, heard.size() - 20)).clear();
+        }
+
         private void take(Step step) {
             for (Order order : step.orders()) {
                 if (order instanceof Order.Cancel c) {
--- /dev/null
+++ b/src/test/java/mintstair/serve/ListHandoverTest.java
@@ -0,0 +1,39 @@
+package mintstair.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import mintstair.registry.view.Told;
+import mintstair.request.HostList;
+import org.junit.jupiter.api.Test;
+
+class ListHandoverTest {
+    private static Told.Hosts list(long revision, boolean whole) {
+        return new Told.Hosts("postgresql", new HostList(revision, whole, List.of()), false);
+    }
+
+    /** A loop that is far behind gets one whole list in place of what waits, and then what came after it; nothing grows. */
+    @Test
+    void whatWaitsGivesWayToOneWholeList() {
+        Deque<Runnable> loop = new ArrayDeque<>();
+        List<String> taken = new ArrayList<>();
+        ListHandover handover = new ListHandover(loop::add, h -> taken.add((h.list().whole() ? "whole " : "") + h.list().revision()));
+        handover.offer(List.of(list(1, false), list(2, false)), List::of);
+        handover.offer(List.of(), List::of);
+        assertEquals(1, loop.size());
+        loop.forEach(Runnable::run);
+        assertEquals(List.of("1", "2"), taken);
+        taken.clear();
+        loop.clear();
+        for (int i = 1; i <= ListHandover.MOST + 3; i++) {
+            int at = i;
+            handover.offer(List.of(list(at, false)), () -> List.of(list(at, true)));
+        }
+        loop.forEach(Runnable::run);
+        assertEquals(List.of("whole " + (ListHandover.MOST + 1), "" + (ListHandover.MOST + 2), "" + (ListHandover.MOST + 3)), taken);
+        assertEquals(1, handover.conflated());
+    }
+}
