--- a/src/test/java/mintstair/program/Program.java
+++ b/src/test/java/mintstair/program/Program.java
@@ -40,7 +40,7 @@
     }
 
     /** A proxy for these hosts of PostgreSQL's protocol, and with an operator's file if that is not null. */
-    static Program serve(int discovery, String known, boolean probing, String operator) throws IOException {
+    public static Program serve(int discovery, String known, boolean probing, String operator) throws IOException {
         return serve(0, discovery, known, probing, operator);
     }
 
@@ -99,7 +99,7 @@
     }
 
     /** What the second address answers to these words, to its end. */
-    String call(String words) throws IOException {
+    public String call(String words) throws IOException {
         try (Socket caller = new Socket("127.0.0.1", control())) {
             caller.setSoTimeout(20_000);
             caller.getOutputStream().write(words.getBytes(StandardCharsets.UTF_8));
@@ -108,7 +108,7 @@
     }
 
     /** Waits until the figures of the second address hold this line. */
-    void awaitFigure(String line) {
+    public void awaitFigure(String line) {
         await(() -> {
             try {
                 return List.of(call("telemetry\n").split("\n")).contains("svc." + line);
--- a/src/test/java/mintstair/registry/etcd/EtcdMember.java
+++ b/src/test/java/mintstair/registry/etcd/EtcdMember.java
@@ -43,7 +43,8 @@
 
 /** One member of a stand-in registry on etcd's v3 wire, as the public API describes it; scripted by its fields. */
 public final class EtcdMember implements AutoCloseable {
-    public final AtomicInteger calls = new AtomicInteger();
+    /** Run at each call. */
+    public volatile Runnable onCall = () -> { };
     public final AtomicInteger reads = new AtomicInteger();
     public final AtomicInteger authenticated = new AtomicInteger();
     /** The member has come no further than this; negative: it is up to date. */
@@ -88,7 +89,7 @@
     private final class Door implements ServerInterceptor {
         @Override
         public <A, B> ServerCall.Listener<A> interceptCall(ServerCall<A, B> call, Metadata headers, ServerCallHandler<A, B> next) {
-            calls.incrementAndGet();
+            onCall.run();
             String token = headers.get(Metadata.Key.of("token", Metadata.ASCII_STRING_MARSHALLER));
             Status status = !users.isEmpty() && (token == null || !tokens.contains(token))
                 ? Status.UNAUTHENTICATED.withDescription("etcdserver: invalid auth token")
