Never cut off a request that was read and is on its way to the loop

A connection that is let go looks once more for unread bytes, on the network thread; it compared with what that thread had read, not with what the loop had taken in. A request between the two was sent on to a host and its connection then closed without an answer, so that its client sent it again, to the successor.

Change: what the loop has taken in is counted, and only that; what is read and not yet taken in counts as heard.

--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -43,6 +43,8 @@
     private final Intake intake;
     private volatile boolean deaf;
     private volatile int reads;
+    /** Of the reads, those that the loop has taken in. */
+    private int looked;
     private boolean heard;
     private boolean asked;
     private int writing;
@@ -96,6 +98,7 @@
         int n = bytes.remaining();
         intake.read(n);
         front.loop.execute(() -> {
+            looked++;
             record.said(true, bytes.array());
             if (!closed && !ending) {
                 take(bytes);
@@ -216,7 +219,8 @@
                 close();
                 return;
             }
-            int heardThen = reads;
+            // What was read and is still on its way here counts as heard: its request would be cut off after it was sent on.
+            int heardThen = looked;
             ((NIOConnection) connection).executeInEventThread(IOEvent.READ, () -> closeUnlessHeard(heardThen));
         }
     }
--- a/src/test/java/mintstair/backend/BackendsTest.java
+++ b/src/test/java/mintstair/backend/BackendsTest.java
@@ -1,11 +1,13 @@
 package mintstair.backend;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -149,4 +151,24 @@
         assertServed("in time");
         assertEquals(ConnectionEnd.NEVER_SENT, end("speaks", "late", -1, 9 * SECOND));
     }
+
+    /**
+     * Guards against a write that is sent again though it ran: a host that takes it and breaks at once must never seem not to
+     * have had it, whichever of the two threads sees the break first.
+     */
+    @Test
+    void whatAHostHasSeenIsNeverSaidToHaveBrokenBefore() throws Exception {
+        int tries = Integer.getInteger("tries", 3_000);
+        for (int i = 0; i < tries; i += 20) {
+            List<CompletableFuture<Reply>> ends = new ArrayList<>();
+            for (int j = i; j < i + 20; j++) {
+                host.script.put("b" + j, Act.BREAK);
+                ends.add(send("speaks", "b" + j, 9 * SECOND, 9 * SECOND, new Hosts.Sent[1]));
+            }
+            for (int j = 0; j < 20; j++) {
+                ConnectionEnd end = ends.get(j).get(20, TimeUnit.SECONDS).end();
+                assertTrue(!host.seen.contains("b" + (i + j)) || end == ConnectionEnd.BROKEN_AFTER_WRITTEN, "b" + (i + j) + " " + end);
+            }
+        }
+    }
 }
