Read captures in one pass: pcapng, fragments, both directions, exchanges, repaired time

Need: today's reading holds classic files whole in memory and knows clients' directions only; a strange evening is to be looked at and later replayed.

Change: Capture reads classic pcap and pcapng frame by frame, Link knows Ethernet with VLANs, raw IP, both Linux cooked forms and BSD loopback, IpPackets joins fragments and walks IPv6 extension headers, Connections puts both directions together within bounds and counts what gives way by reason. traffic.Recording turns that into exchanges of both protocols; TimeLine, without I/O, repairs clocks; files follow each other or are merged by time. traffic info shows the result, on picocli and HdrHistogram. The old replay stands on the new reading; PcapReader, Packet and TcpStream are gone.

--- a/src/main/java/mintstair/Main.java
+++ b/src/main/java/mintstair/Main.java
@@ -1,6 +1,7 @@
 package mintstair;
 
 import java.io.IOException;
+import java.io.PrintWriter;
 import java.net.InetSocketAddress;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -15,12 +16,14 @@
 import mintstair.registry.RegistryCommand;
 import mintstair.serve.Proxy;
 import mintstair.store.Store;
+import mintstair.traffic.TrafficCommand;
 
 /** The program's commands; what is wrong with its input ends it with one line and status 2. */
 public final class Main {
     private static final String USAGE = "usage: java -jar mintstair.jar serve [--operator FILE] [FILE] | check FILE | adapter"
         + " | replay [--to HOST:PORT] [--port PORT] [--mongodb] FILE | store OPERATOR_FILE get KEY"
         + " | store OPERATOR_FILE put KEY VALUE"
+        + " | traffic info FILE..."
         + " | registry show|watch|put-host|drain|delete OPERATOR_FILE ...";
 
     private Main() { }
@@ -38,6 +41,8 @@
                 replay(Arrays.asList(args).subList(1, args.length));
             } else if (args.length >= 4 && args[0].equals("store")) {
                 store(args);
+            } else if (args.length >= 1 && args[0].equals("traffic")) {
+                System.exit(TrafficCommand.run(Arrays.asList(args).subList(1, args.length), new PrintWriter(System.out)));
             } else if (args.length >= 3 && args[0].equals("registry")) {
                 registry(args);
             } else {
--- a/src/main/java/mintstair/pcap/Conversations.java
+++ b/src/main/java/mintstair/pcap/Conversations.java
@@ -2,11 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.function.LongUnaryOperator;
 import java.util.function.Supplier;
 import mintstair.wire.Framer;
 import mintstair.wire.ProtocolException;
@@ -17,30 +17,40 @@
     public record Sent(int connection, byte[] message) { }
 
     private final List<Sent> messages = new ArrayList<>();
-    private final Map<List<InetSocketAddress>, Client> clients = new HashMap<>();
     private final Supplier<Framer> framers;
     private int connections;
     private int incomplete;
 
     /** One client's connection. */
-    private final class Client {
-        final int number = connections++;
-        final Framer framer = framers.get();
-        boolean broken;
-        final TcpStream stream = new TcpStream(bytes -> {
+    private final class Client implements Connections.Connection {
+        private final int number = connections++;
+        private final Framer framer = framers.get();
+        private boolean broken;
+
+        @Override
+        public void said(long nanos, boolean byClient, byte[] bytes, int from, int to) {
+            if (!byClient || broken) {
+                return;
+            }
+            framer.feed(ByteBuffer.wrap(bytes, from, to - from));
             try {
-                framer.feed(bytes);
-                for (byte[] m = broken ? null : framer.next(); m != null; m = framer.next()) {
+                for (byte[] m = framer.next(); m != null; m = framer.next()) {
                     messages.add(new Sent(number, m));
                 }
             } catch (ProtocolException e) {
                 // What follows cannot be told apart any more; what came before stands.
                 broken = true;
             }
-        });
+        }
+
+        @Override
+        public void lost(long nanos, boolean byClient) {
+            broken |= byClient;
+        }
 
-        void end() {
-            incomplete += broken || stream.hasGap() || framer.pending() > 0 ? 1 : 0;
+        @Override
+        public void ended(long nanos) {
+            incomplete += broken || framer.pending() > 0 ? 1 : 0;
         }
     }
 
@@ -51,30 +61,12 @@
     /** Reads a capture; {@code port} is the one that the clients connected to. */
     public static Conversations read(Path file, int port, Supplier<Framer> framers) throws IOException {
         Conversations found = new Conversations(framers);
-        try (PcapReader in = new PcapReader(file)) {
-            for (PcapReader.Captured c = in.next(); c != null; c = in.next()) {
-                Packet p = Packet.parse(in.linkType(), c.data());
-                if (p != null && p.to().getPort() == port) {
-                    found.take(p);
-                }
-            }
-        }
-        found.clients.values().forEach(Client::end);
+        Connections.read(List.of(file), false, LongUnaryOperator::identity, at -> at == port, found::opened, new Losses());
         return found;
     }
 
-    private void take(Packet p) {
-        List<InetSocketAddress> flow = List.of(p.from(), p.to());
-        Client client = clients.get(flow);
-        if (client != null && client.stream.isRestart(p)) {
-            client.end();
-            client = null;
-        }
-        if (client == null) {
-            client = new Client();
-            clients.put(flow, client);
-        }
-        client.stream.take(p);
+    private Connections.Connection opened(long nanos, InetSocketAddress client, InetSocketAddress server, boolean fromStart) {
+        return new Client();
     }
 
     public List<Sent> messages() {
--- a/src/main/java/mintstair/pcap/PcapWriter.java
+++ b/src/main/java/mintstair/pcap/PcapWriter.java
@@ -24,8 +24,8 @@
     public PcapWriter(Path file, long most) throws IOException {
         out = new BufferedOutputStream(Files.newOutputStream(file), 32 * 1024);
         left = most;
-        write(ByteBuffer.allocate(24).putInt(PcapReader.MICROS).putShort((short) 2).putShort((short) 4).putInt(0)
-            .putInt(0).putInt(SNAP).putInt(PcapReader.RAW));
+        write(ByteBuffer.allocate(24).putInt(ClassicPcap.MICROS).putShort((short) 2).putShort((short) 4).putInt(0)
+            .putInt(0).putInt(SNAP).putInt(Link.RAW));
     }
 
     /** One connection in the file. */
@@ -39,15 +39,15 @@
         public Conversation(long time, InetSocketAddress client, InetSocketAddress proxy) throws IOException {
             this.client = client;
             this.proxy = proxy;
-            packet(time, true, Packet.SYN, 0, 0, new byte[0]);
-            packet(time, false, Packet.SYN | Packet.ACK, 0, 1, new byte[0]);
-            packet(time, true, Packet.ACK, 1, 1, new byte[0]);
+            packet(time, true, Segment.SYN, 0, 0, new byte[0]);
+            packet(time, false, Segment.SYN | Segment.ACK, 0, 1, new byte[0]);
+            packet(time, true, Segment.ACK, 1, 1, new byte[0]);
         }
 
         public void said(long time, boolean byClient, byte[] bytes) throws IOException {
             for (int at = 0; at < bytes.length; at += MOST_PAYLOAD) {
                 byte[] part = Arrays.copyOfRange(bytes, at, Math.min(bytes.length, at + MOST_PAYLOAD));
-                packet(time, byClient, Packet.PSH | Packet.ACK, byClient ? fromClient : fromProxy,
+                packet(time, byClient, Segment.PSH | Segment.ACK, byClient ? fromClient : fromProxy,
                     byClient ? fromProxy : fromClient, part);
                 fromClient += byClient ? part.length : 0;
                 fromProxy += byClient ? 0 : part.length;
@@ -55,9 +55,9 @@
         }
 
         public void ended(long time) throws IOException {
-            packet(time, true, Packet.FIN | Packet.ACK, fromClient, fromProxy, new byte[0]);
-            packet(time, false, Packet.FIN | Packet.ACK, fromProxy, fromClient + 1, new byte[0]);
-            packet(time, true, Packet.ACK, fromClient + 1, fromProxy + 1, new byte[0]);
+            packet(time, true, Segment.FIN | Segment.ACK, fromClient, fromProxy, new byte[0]);
+            packet(time, false, Segment.FIN | Segment.ACK, fromProxy, fromClient + 1, new byte[0]);
+            packet(time, true, Segment.ACK, fromClient + 1, fromProxy + 1, new byte[0]);
         }
 
         private void packet(long time, boolean byClient, int flags, int sequence, int ack, byte[] payload)
--- a/src/main/java/mintstair/wire/PgFramer.java
+++ b/src/main/java/mintstair/wire/PgFramer.java
@@ -62,6 +62,13 @@
             super("QXPBDECFHSdcfp", 'Q', LONGEST);
         }
 
+        /** For a connection whose start-up is over, and was not seen. */
+        public static OfClient started() {
+            OfClient framer = new OfClient();
+            framer.over = true;
+            return framer;
+        }
+
         @Override
         protected int length(byte[] b, int at, int n) {
             if (over) {
