Replay recordings open-loop and compare them, by schedule without I/O

Need: today's replay waits for each answer and forgets the recording's timing, so that an overloaded evening is played as a calm one.

Change: ReplaySchedule decides without I/O when each request is sent, on which connection and with what token: distances as recorded, a speed, a window, classes, sessions, several copies; only a read that follows a write of its session waits for that answer; retries recorded or live within a budget; what can't be sent in time is told. Replayer plays it on one thread, Comparison matches answers, values and latencies. traffic replay and traffic diff are the commands.

--- a/src/main/java/mintstair/traffic/PgTalk.java
+++ b/src/main/java/mintstair/traffic/PgTalk.java
@@ -12,14 +12,18 @@
 final class PgTalk extends Talk {
     private static final int NO_NUMBER = 0;
     private boolean started;
+    /** The first ReadyForQuery answers the start-up, though a query may have come with that. */
+    private boolean greeted;
     private long digest;
     private int valueLeft;
     private RecordedExchange.Result result = RecordedExchange.Result.NONE;
     private long comeBack;
+    private long heardAt;
 
     PgTalk(int connection, boolean fromStart, Losses losses, Consumer<RecordedExchange> out) {
         super(connection, fromStart ? new PgFramer.OfClient() : PgFramer.OfClient.started(), new PgFramer.OfHost(), losses, out);
         started = !fromStart;
+        greeted = !fromStart;
     }
 
     @Override
@@ -43,8 +47,20 @@
             NO_NUMBER));
     }
 
+    /** After a fatal error no ReadyForQuery comes. */
+    @Override
+    protected void ending() {
+        if (result == RecordedExchange.Result.REFUSED || result == RecordedExchange.Result.FAILED) {
+            Open request = open.poll();
+            if (request != null) {
+                tell(request, heardAt, result, comeBack, 0);
+            }
+        }
+    }
+
     @Override
     protected void answered(long nanos, byte[] m) {
+        heardAt = nanos;
         if (valueLeft > 0) {
             digest = digest(digest, m, 0, m.length);
             valueLeft -= m.length;
@@ -59,7 +75,8 @@
             case 'C' -> result = RecordedExchange.Result.SERVED;
             case 'E' -> error(m);
             case 'Z' -> {
-                Open request = open.poll();
+                Open request = greeted ? open.poll() : null;
+                greeted = true;
                 if (request != null) {
                     boolean served = result == RecordedExchange.Result.SERVED;
                     tell(request, nanos, result, comeBack, served ? digest : 0);
--- a/src/main/java/mintstair/traffic/Talk.java
+++ b/src/main/java/mintstair/traffic/Talk.java
@@ -97,11 +97,17 @@
 
     /** Nothing more comes: what is open has no answer. */
     final void end() {
+        if (!answeredOver) {
+            ending();
+        }
         giveUp();
         askedOver = true;
         answeredOver = true;
     }
 
+    /** Tells what has its answer though the connection ended with it. */
+    protected void ending() { }
+
     private void giveUp() {
         for (Open each : open) {
             tell(each, 0, RecordedExchange.Result.NONE, 0, 0);
--- a/src/main/java/mintstair/traffic/TrafficCommand.java
+++ b/src/main/java/mintstair/traffic/TrafficCommand.java
@@ -9,10 +9,12 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import mintstair.config.ConfigException;
+import mintstair.config.NodeConfig;
 import mintstair.pcap.Losses;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -22,8 +24,8 @@
 import picocli.CommandLine.Spec;
 
 /** What operators do with recorded traffic from the command line. */
-@Command(name = "traffic", description = "Looks at recorded traffic.", mixinStandardHelpOptions = true,
-    subcommands = {TrafficCommand.Info.class})
+@Command(name = "traffic", description = "Looks at recorded traffic, replays and compares it.", mixinStandardHelpOptions = true,
+    subcommands = {TrafficCommand.Info.class, TrafficCommand.Replay.class, TrafficCommand.Diff.class})
 public final class TrafficCommand {
     private TrafficCommand() { }
 
@@ -47,6 +49,9 @@
 
     /** Where the traffic of a recording is. */
     static final class Source {
+        /** What a request holds on the heap beside its message, about. */
+        private static final int OVERHEAD = 400;
+
         @Parameters(arity = "1..*", paramLabel = "FILE", description = "pcap or pcapng files, in the order in which they were written")
         private List<Path> files;
 
@@ -68,6 +73,28 @@
 
         private final List<TimeLine> lines = new ArrayList<>();
 
+        Source() { }
+
+        Source(List<Path> files, List<Integer> ports, List<Integer> mongoPorts) {
+            this.files = files;
+            this.ports = ports;
+            this.mongoPorts = mongoPorts;
+        }
+
+        /** All exchanges, in the order of their answers; more than there is room for is an error. */
+        List<RecordedExchange> exchanges(Losses losses) {
+            List<RecordedExchange> all = new ArrayList<>();
+            long[] bytes = new long[1];
+            read(losses, e -> {
+                bytes[0] += e.message().length + OVERHEAD;
+                if (bytes[0] > Runtime.getRuntime().maxMemory() / 2) {
+                    throw new ConfigException(files.get(0) + ": more than half of the heap in requests; choose a part, or give more with -Xmx");
+                }
+                all.add(e);
+            });
+            return all;
+        }
+
         private TimeLine line() {
             TimeLine line = new TimeLine(Long.MAX_VALUE);
             lines.add(line);
@@ -115,4 +142,113 @@
             return 0;
         }
     }
+
+    /** Plays a recording to a front and compares the answers. */
+    @Command(name = "replay", description = "Plays the requests of a recording to a front, each at its recorded distance, and compares"
+        + " the answers; status 1 where some differ or could not be sent.", mixinStandardHelpOptions = true)
+    static final class Replay implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Source source = new Source();
+
+        @Option(names = "--to", paramLabel = "HOST:PORT", defaultValue = "127.0.0.1:5433", description = "the front (${DEFAULT-VALUE})")
+        private String to;
+
+        @Option(names = "--protocol", defaultValue = "POSTGRESQL", description = "what it speaks: ${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
+        private Recording.Protocol protocol;
+
+        @Option(names = "--speed", defaultValue = "1", description = "2 plays in half the time")
+        private double speed;
+
+        @Option(names = "--from", defaultValue = "0", description = "seconds from the first request on that are left out")
+        private double from;
+
+        @Option(names = "--until", defaultValue = "1e12", description = "seconds from the first request on after which nothing is played")
+        private double until;
+
+        @Option(names = "--class", paramLabel = "CLASS", description = "a class that is played; all where none is named")
+        private List<String> classes = List.of();
+
+        @Option(names = "--session", paramLabel = "SESSION", description = "a session that is played; all where none is named")
+        private List<String> sessions = List.of();
+
+        @Option(names = "--times", defaultValue = "1", description = "how often each request is played, by sessions of other names")
+        private int times;
+
+        @Option(names = "--retries", defaultValue = "recorded", description = "recorded: retries are played as they were; live: they are made anew")
+        private String retries;
+
+        @Option(names = "--retry-budget", defaultValue = "0.1", description = "for live retries, the share of first tries (${DEFAULT-VALUE})")
+        private double budget;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException {
+            ReplayOptions options;
+            try {
+                if (!retries.equals("live") && !retries.equals("recorded")) {
+                    throw new IllegalArgumentException("--retries is recorded or live");
+                }
+                options = new ReplayOptions(speed, from, until, Set.copyOf(classes), Set.copyOf(sessions), times, retries.equals("live"), budget);
+            } catch (IllegalArgumentException e) {
+                throw new ConfigException("traffic: " + e.getMessage());
+            }
+            Losses losses = new Losses();
+            List<RecordedExchange> recorded = source.exchanges(losses);
+            PrintWriter out = spec.commandLine().getOut();
+            try (Replayer replayer = new Replayer(recorded, options, NodeConfig.address(to), protocol,
+                    Long.toHexString(System.currentTimeMillis()) + "x")) {
+                return told(replayer, replayer.play(), losses, out);
+            }
+        }
+
+        private int told(Replayer replayer, List<Replayer.Played> played, Losses losses, PrintWriter out) {
+            Comparison comparison = new Comparison();
+            played.stream().filter(p -> !p.planned().retry).forEach(p -> comparison.add(p.planned().recorded, p.replayed()));
+            long late = replayer.schedule().all().stream().filter(p -> p.fate == ReplaySchedule.Fate.TOO_LATE).count();
+            out.print(comparison);
+            out.println(String.format(Locale.ROOT, "sent=%d connections=%d not_sent=%d retries_without_budget=%d lateness_us p50=%d p99=%d most=%d",
+                played.size(), replayer.schedule().lanes(), late, replayer.schedule().retriesRefused(),
+                replayer.lateness().getValueAtPercentile(50), replayer.lateness().getValueAtPercentile(99), replayer.lateness().getMaxValue()));
+            if (late > 0) {
+                out.println("not sent: " + late + " reads, as the write that they follow had no answer in time");
+            }
+            out.println("lost in reading: " + (losses.toString().isEmpty() ? "nothing" : losses));
+            out.flush();
+            return comparison.isSame() && late == 0 ? 0 : 1;
+        }
+    }
+
+    /** Compares two recordings. */
+    @Command(name = "diff", description = "Matches the requests of two recordings and tells where they differ; status 1 where they do.",
+        mixinStandardHelpOptions = true)
+    static final class Diff implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "FIRST")
+        private Path first;
+
+        @Parameters(index = "1", paramLabel = "SECOND")
+        private Path second;
+
+        @Option(names = "--port", paramLabel = "PORT", description = "a port that PostgreSQL's clients connected to (5433)")
+        private List<Integer> ports = List.of(5433);
+
+        @Option(names = "--mongodb-port", paramLabel = "PORT", description = "a port that MongoDB's clients connected to")
+        private List<Integer> mongoPorts = List.of();
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            Losses losses = new Losses();
+            Comparison comparison = Comparison.of(new Source(List.of(first), ports, mongoPorts).exchanges(losses),
+                new Source(List.of(second), ports, mongoPorts).exchanges(losses));
+            PrintWriter out = spec.commandLine().getOut();
+            out.print(comparison);
+            out.println("pairs=" + comparison.pairs() + " lost in reading: " + (losses.toString().isEmpty() ? "nothing" : losses));
+            out.flush();
+            return comparison.isSame() ? 0 : 1;
+        }
+    }
 }
