--- a/src/main/java/mintstair/backend/Backends.java
+++ b/src/main/java/mintstair/backend/Backends.java
@@ -19,6 +19,7 @@
 import mintstair.request.Statement;
 import mintstair.stats.Counters;
 import mintstair.wire.MessageFilter;
+import mintstair.wire.Recorder;
 
 /** The pools of all db hosts. */
 public final class Backends implements Hosts {
@@ -43,6 +44,7 @@
     final Counters counters;
     private final Map<String, HostPool> pools = new HashMap<>();
     private int open;
+    Recorder recorder = Recorder.NONE;
 
     public Backends(Loop loop, Protocol protocol, TCPNIOTransport transport, long connectTimeout, long idle,
             int most, Random random, Counters counters) {
@@ -64,6 +66,11 @@
         idleLimit = (long) (idle * IDLE_MARGIN);
     }
 
+    /** Has connections recorded that are made from now on. */
+    public void record(Recorder to) {
+        recorder = to;
+    }
+
     /** A connection left idle to its host's limit would be closed there, at a time that nobody here knows. */
     private void sweep() {
         // Hosts come and go under new names all day long.
--- a/src/main/java/mintstair/backend/HostConnection.java
+++ b/src/main/java/mintstair/backend/HostConnection.java
@@ -16,6 +16,7 @@
 import mintstair.wire.Intake;
 import mintstair.wire.MessageFilter;
 import mintstair.wire.ProtocolException;
+import mintstair.wire.Recorder;
 
 /** One connection to a db host: it greets, then carries one call at a time. All but reading is on the loop. */
 final class HostConnection implements MessageFilter.Listener {
@@ -45,6 +46,7 @@
     private long heardAt;
     private volatile Intake intake;
     long idleSince;
+    private Recorder.Conversation record = Recorder.Conversation.NONE;
 
     HostConnection(HostPool pool, Backends backends) {
         this.pool = pool;
@@ -83,6 +85,9 @@
             made.closeSilently();
             return;
         }
+        if (backends.recorder != Recorder.NONE) {
+            record = backends.recorder.begin((InetSocketAddress) made.getLocalAddress(), (InetSocketAddress) made.getPeerAddress());
+        }
         ask(backends.protocol.greeting(), false);
     }
 
@@ -122,6 +127,7 @@
 
     @SuppressWarnings({"unchecked", "rawtypes"})
     private void write(byte[] bytes, boolean attempt) {
+        record.said(true, bytes);
         Buffer buffer = Buffers.wrap(backends.transport.getMemoryManager(), bytes);
         ((Connection) connection).write(buffer, new EmptyCompletionHandler<WriteResult>() {
             @Override
@@ -135,6 +141,9 @@
     }
 
     void close() {
+        if (state != State.CLOSED) {
+            record.ended();
+        }
         state = State.CLOSED;
         if (connection != null) {
             connection.closeSilently();
@@ -172,6 +181,7 @@
         takenCount++;
         heardAt = backends.loop.now();
         passed = 0;
+        record.said(false, bytes.array());
         parse(bytes);
         return passed;
     }
--- a/src/main/java/mintstair/config/OperatorConfig.java
+++ b/src/main/java/mintstair/config/OperatorConfig.java
@@ -14,14 +14,23 @@
     /** The second front: where it listens, and its hosts, listed here or by a discovery of their own. */
     public record Mongo(InetSocketAddress listen, InetSocketAddress discovery, HostList hosts) { }
 
-    /** The file that client traffic is recorded to, and the bytes that it may grow to. */
-    public record Recording(Path file, long mostBytes) { }
+    /** The file that client traffic is recorded to, and the bytes that it may grow to; or rotated files in a folder. */
+    public record Recording(Path file, long mostBytes, Rotated rotated) { }
+
+    /**
+     * Rotated files: bytes and age at which one is followed by the next, bytes of all and of what may wait for the disk, whether
+     * connections to hosts are recorded, the share of connections that are, and whether values are replaced by digests.
+     */
+    public record Rotated(Path folder, long fileBytes, long fileMicros, long totalBytes, long queueBytes, boolean hosts, double share,
+            boolean digests) { }
 
     /** The replicated store: this daemon's member of it, all members, and the folder that this one keeps. */
     public record Members(String member, Map<String, InetSocketAddress> members, Path folder) { }
 
     public static final OperatorConfig NONE = new OperatorConfig(null, null, null, null);
     private static final Set<String> NAMES = Set.of("mongodb", "record", "store", "registry");
+    private static final Set<String> RECORD_NAMES = Set.of("folder", "file_bytes", "file_s", "total_bytes", "queue_bytes", "hosts", "share",
+        "digests");
     private static final long MOST_BYTES = 64 << 20;
 
     /** Reads the file; throws {@link ConfigException} with one plain line where it cannot be used. */
@@ -59,8 +68,32 @@
     }
 
     private static Recording recording(Map<?, ?> m) {
-        long most = m.get("most_bytes") instanceof Number n ? n.longValue() : MOST_BYTES;
-        return new Recording(Path.of(NodeConfig.text(m, "file")), most);
+        if (m.get("folder") == null) {
+            return new Recording(Path.of(NodeConfig.text(m, "file")), (long) number(m, "most_bytes", MOST_BYTES, 1), null);
+        }
+        for (Object name : m.keySet()) {
+            if (!RECORD_NAMES.contains(name)) {
+                throw new ConfigException("record: unknown setting " + name);
+            }
+        }
+        long fileBytes = (long) number(m, "file_bytes", MOST_BYTES, 1 << 16);
+        Rotated rotated = new Rotated(Path.of(NodeConfig.text(m, "folder")), fileBytes, (long) (number(m, "file_s", 600, 1) * 1e6),
+            (long) number(m, "total_bytes", 16 * fileBytes, fileBytes), (long) number(m, "queue_bytes", 8 << 20, 1 << 16),
+            Boolean.TRUE.equals(m.get("hosts")), number(m, "share", 1, 0), Boolean.TRUE.equals(m.get("digests")));
+        if (rotated.share() > 1) {
+            throw new ConfigException("record: share must be from 0 to 1");
+        }
+        return new Recording(null, 0, rotated);
+    }
+
+    private static double number(Map<?, ?> m, String name, double otherwise, double least) {
+        if (m.get(name) == null) {
+            return otherwise;
+        }
+        if (!(m.get(name) instanceof Number n) || !(n.doubleValue() >= least) || n.doubleValue() > 1e15) {
+            throw new ConfigException("record: " + name + " must be a number from " + (long) least + " on");
+        }
+        return n.doubleValue();
     }
 
     private static Members members(Map<?, ?> m) {
--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -15,6 +15,7 @@
 import mintstair.wire.Intake;
 import mintstair.wire.MessageFilter;
 import mintstair.wire.ProtocolException;
+import mintstair.wire.Recorder;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.IOEvent;
--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -12,6 +12,7 @@
 import mintstair.proxy.Loop;
 import mintstair.stats.Counters;
 import mintstair.wire.MessageFilter;
+import mintstair.wire.Recorder;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
--- a/src/main/java/mintstair/registry/RegistryCommand.java
+++ b/src/main/java/mintstair/registry/RegistryCommand.java
@@ -206,7 +206,12 @@
     }
 
     private void fromSnapshot() {
-        Snapshot kept = config.snapshot() == null ? null : new SnapshotFile(config.snapshot()).read(config.prefix(), out::println);
+        Snapshot kept = null;
+        try {
+            kept = config.snapshot() == null ? null : new SnapshotFile(config.snapshot()).look(config.prefix());
+        } catch (IOException e) {
+            out.println(config.snapshot() + ": " + e.getMessage());
+        }
         if (kept == null) {
             out.println("nothing is kept of an earlier run");
             return;
--- a/src/main/java/mintstair/registry/SnapshotFile.java
+++ b/src/main/java/mintstair/registry/SnapshotFile.java
@@ -58,6 +58,21 @@
 
     /** The view that was kept for this prefix, or null; a file that is none is set aside with one line. */
     public Snapshot read(String prefix, Consumer<String> lines) {
+        try {
+            return look(prefix);
+        } catch (IOException e) {
+            try {
+                Files.move(file, beside(".bad"), StandardCopyOption.REPLACE_EXISTING);
+                lines.accept("registry: " + file + " is set aside: " + e.getMessage());
+            } catch (IOException f) {
+                lines.accept("registry: " + file + " is not used: " + e.getMessage() + "; it can't be set aside: " + f.getMessage());
+            }
+            return null;
+        }
+    }
+
+    /** The view that was kept for this prefix, or null where there is no file; throws, and touches nothing, where the file is none. */
+    public Snapshot look(String prefix) throws IOException {
         if (!Files.exists(file)) {
             return null;
         }
@@ -70,15 +85,8 @@
                 throw new IOException("it is of the prefix " + read.prefix());
             }
             return read;
-        } catch (IOException | RuntimeException e) {
-            String why = e instanceof IOException ? e.getMessage() : "not whole";
-            try {
-                Files.move(file, beside(".bad"), StandardCopyOption.REPLACE_EXISTING);
-                lines.accept("registry: " + file + " is set aside: " + why);
-            } catch (IOException f) {
-                lines.accept("registry: " + file + " is not used: " + why + "; it can't be set aside: " + f.getMessage());
-            }
-            return null;
+        } catch (RuntimeException e) {
+            throw new IOException("not whole");
         }
     }
 
--- a/src/main/java/mintstair/serve/PcapRecorder.java
+++ b/src/main/java/mintstair/serve/PcapRecorder.java
@@ -3,9 +3,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import mintstair.config.OperatorConfig;
-import mintstair.front.Recorder;
 import mintstair.pcap.PcapWriter;
 import mintstair.proxy.Loop;
+import mintstair.wire.Recorder;
 
 /** Records client traffic to a pcap file; a file that cannot be written ends the recording, not the service. */
 final class PcapRecorder implements Recorder {
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -74,6 +74,7 @@
     private volatile long longestDeadline;
     private final List<Service> services = new ArrayList<>();
     private PcapRecorder recorder;
+    private LogRecorder log;
     private StoreKeeper keeper;
     private RegistryKeeper registry;
     /** Settings come from the file's thread and from the registry's. */
@@ -118,7 +119,9 @@
             System.out.println("control on " + config.control().getHostString() + ":" + control.listen(config.control()));
         }
         transport.start();
-        recorder = operator.record() == null ? null : new PcapRecorder(loop, operator.record());
+        OperatorConfig.Recording record = operator.record();
+        recorder = record == null || record.rotated() != null ? null : new PcapRecorder(loop, record);
+        log = record == null || record.rotated() == null ? null : new LogRecorder(loop, record.rotated(), config.seed());
         Descriptors share = Descriptors.of(config.sockets(), operator.mongodb() == null ? 1 : 2, control != null);
         // Beside one that serves this one starts small: until that has let its clients go, both share one limit.
         boolean beside = Listeners.at(config.listen()) > 0;
@@ -140,9 +143,16 @@
         loop.execute(this::publish);
         loop.at(loop.now() + OVERLAP, () -> services.forEach(service -> service.front.mostClients(share.clients())));
         rehearse(config.listen());
-        port = services.get(0).open(config.listen(), recorder);
+        if (log != null && operator.record().rotated().hosts()) {
+            loop.execute(() -> {
+                for (int i = 0; i < services.size(); i++) {
+                    services.get(i).recordHosts(log.of(i == 0));
+                }
+            });
+        }
+        port = services.get(0).open(config.listen(), log == null ? recorder : log.of(true));
         if (mongodb != null) {
-            services.get(1).open(mongodb.listen(), recorder);
+            services.get(1).open(mongodb.listen(), log == null ? recorder : log.of(false));
         }
         if (operator.store() != null) {
             keeper = new StoreKeeper(operator.store(), config.name(), this::listed, this::state);
@@ -170,6 +180,9 @@
         if (registry != null) {
             registry.addTo(sum);
         }
+        if (log != null) {
+            log.addTo(sum);
+        }
         figures = sum.figures();
         loop.at(loop.now() + PUBLISH_EVERY, this::publish);
     }
@@ -297,6 +310,9 @@
             recorder.flush();
         }
         System.out.flush();
+        if (log != null) {
+            log.close();
+        }
         if (registry != null) {
             registry.close();
         }
--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -9,13 +9,13 @@
 import mintstair.config.Env;
 import mintstair.discovery.Watch;
 import mintstair.front.Front;
-import mintstair.front.Recorder;
 import mintstair.proxy.Dispatcher;
 import mintstair.proxy.Loop;
 import mintstair.request.HostList;
 import mintstair.routing.RequestRouter;
 import mintstair.stats.Counters;
 import mintstair.stats.Figures;
+import mintstair.wire.Recorder;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
 /** One front and the hosts behind it, of one protocol, with a router of its own between them. */
@@ -113,6 +113,11 @@
         return port;
     }
 
+    /** Has what is said to and by hosts recorded, on connections made from here on; on the loop. */
+    void recordHosts(Recorder recorder) {
+        hosts.record(recorder);
+    }
+
     /** See {@link Dispatcher#endsBy}; on the loop. */
     void endsBy(long from, long by) {
         dispatcher.endsBy(from, by);
--- a/src/main/java/mintstair/traffic/Rewriting.java
+++ b/src/main/java/mintstair/traffic/Rewriting.java
@@ -3,8 +3,6 @@
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import mintstair.wire.MongoMessage;
 import mintstair.wire.PgWriter;
 import org.bson.BsonDocument;
@@ -29,8 +27,16 @@
     }
 
     private static String put(String text, String name, String value) {
-        Matcher m = Pattern.compile("(^|,)(\\s*" + name + "\\s*=)[^,]*").matcher(text.stripTrailing());
-        return m.find() ? m.replaceFirst("$1$2" + Matcher.quoteReplacement(value)) : text.stripTrailing() + "," + name + "=" + value;
+        for (int at = 0; at < text.length();) {
+            int comma = text.indexOf(',', at);
+            int end = comma < 0 ? text.length() : comma;
+            int equals = text.indexOf('=', at);
+            if (equals >= 0 && equals < end && text.substring(at, equals).strip().equals(name)) {
+                return text.substring(0, equals + 1) + value + text.substring(end);
+            }
+            at = end + 1;
+        }
+        return text.stripTrailing() + "," + name + "=" + value;
     }
 
     /** Statements of PostgreSQL: the first quoted text names the session. */
--- a/src/main/java/mintstair/front/Recorder.java
+++ b/src/main/java/mintstair/wire/Recorder.java
@@ -1,8 +1,8 @@
-package mintstair.front;
+package mintstair.wire;
 
 import java.net.InetSocketAddress;
 
-/** Keeps what clients say and hear. */
+/** Keeps what is said on connections; its calls must not block. */
 public interface Recorder {
     /** One connection as it goes on. */
     interface Conversation {
@@ -14,10 +14,15 @@
             public void ended() { }
         };
 
+        /** Bytes of one side, in order; {@code byClient} where the side that made the connection said them. */
         void said(boolean byClient, byte[] bytes);
 
         void ended();
     }
 
-    Conversation begin(InetSocketAddress client, InetSocketAddress proxy);
+    /** Records nothing. */
+    Recorder NONE = (client, server) -> Conversation.NONE;
+
+    /** A connection that {@code client} made to {@code server}. */
+    Conversation begin(InetSocketAddress client, InetSocketAddress server);
 }
--- a/src/test/java/mintstair/program/Program.java
+++ b/src/test/java/mintstair/program/Program.java
@@ -89,7 +89,7 @@
     }
 
     /** The port of the n-th front, from 0. */
-    int port(int n) {
+    public int port(int n) {
         return port("serving on ", n);
     }
 
@@ -135,6 +135,12 @@
         process.toHandle().destroy();
     }
 
+    /** Ends it as the platform does, and waits until it has. */
+    public void end() throws InterruptedException {
+        terminate();
+        exit();
+    }
+
     int exit() throws InterruptedException {
         if (!process.waitFor(30, TimeUnit.SECONDS)) {
             throw new AssertionError("the program does not end: " + printed);
--- a/src/test/java/mintstair/program/RegistryProgramTest.java
+++ b/src/test/java/mintstair/program/RegistryProgramTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import mintstair.pcap.Losses;
 import mintstair.registry.etcd.EtcdMember;
 import mintstair.standin.Client;
 import mintstair.standin.ConsulServer;
@@ -20,7 +21,9 @@
 import mintstair.standin.PgHost;
 import mintstair.standin.RegistryModel;
 import mintstair.standin.Relay;
-import mintstair.standin.StandInHost;
+import mintstair.traffic.RecordedExchange;
+import mintstair.traffic.Recording;
+import mintstair.traffic.TimeLine;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -180,6 +183,50 @@
         }
     }
 
+    /** {@code registry watch} prints a line a change, through the break of its endpoint. */
+    @Test
+    void watchPrintsALineAChange() throws Exception {
+        Path operator = Files.writeString(folder.resolve("operator.json"), operator(""));
+        try (Program watch = new Program("registry", "watch", operator.toString())) {
+            Program.await(() -> watch.lines("2 postgresql ").size() == 2, "the first list");
+            first.cut();
+            second.cut();
+            model.put(HOSTS + "r", replica.listed("DRAINING"));
+            model.delete(HOSTS + "p");
+            Program.await(() -> watch.lines("4 postgresql p DELETED ").size() == 1, "the deletion: " + watch.printed);
+            assertEquals(1, watch.lines("").stream().filter(l -> l.contains(" r DRAINING ")).count());
+        }
+    }
+
+    /** Both sides are recorded into a folder, and what was recorded of the clients is what was asked and answered. */
+    @Test
+    void recordedTrafficIsWhatWasSaid() throws Exception {
+        String record = "{\"record\":{\"folder\":\"" + folder.resolve("traffic") + "\",\"hosts\":true}," + operator("").substring(1);
+        int port;
+        try (Program program = serve(record)) {
+            program.awaitFigure("registry_live=1");
+            port = program.port(0);
+            try (Client.Pg client = new Client.Pg(port)) {
+                for (int i = 0; i < 20; i++) {
+                    assertEquals("served x" + i, client.ask(i % 2 == 0, "id=x" + i + ",c=" + (i % 2 == 0 ? "write" : "any") + ",cluster=1", 4000));
+                }
+            }
+            program.awaitFigure("record_lost=0");
+            program.end();
+        }
+        List<Path> files;
+        try (java.util.stream.Stream<Path> all = Files.list(folder.resolve("traffic"))) {
+            files = all.sorted().toList();
+        }
+        for (int at : new int[] {port, primary.port()}) {
+            List<RecordedExchange> found = new ArrayList<>();
+            Recording.read(files, false, () -> new TimeLine(Long.MAX_VALUE), Map.of(at, Recording.Protocol.POSTGRESQL), new Losses(), found::add);
+            List<String> served = found.stream().filter(e -> e.id().startsWith("x") && e.result() == RecordedExchange.Result.SERVED)
+                .map(RecordedExchange::id).toList();
+            assertTrue(served.size() >= 10 && (at != port || served.size() == 20), at + ": " + served);
+        }
+    }
+
     @Test
     void whatCannotBeUsedEndsTheStartWithOneLine() throws Exception {
         String[] faults = {"\"kind\":\"paper\"", "\"kind\":\"etcd\",\"endpoints\":[]", "\"kind\":\"etcd\",\"endpoints\":[\"x\"]",
--- a/src/test/java/mintstair/standin/MongoHost.java
+++ b/src/test/java/mintstair/standin/MongoHost.java
@@ -65,7 +65,7 @@
             c.getArray("cursors").forEach(id -> cursors.remove(id.asInt64().getValue()));
             return ok;
         }
-        String id = id(c);
+        String id = byKey ? "value of " + c.getString("comment").getValue().replaceAll(".*session=([^,]*).*", "$1") : id(c);
         switch (act(id)) {
             case BREAK: return null;
             case SILENT: return new BsonDocument();
--- a/src/test/java/mintstair/standin/PgHost.java
+++ b/src/test/java/mintstair/standin/PgHost.java
@@ -60,7 +60,7 @@
                 case ERROR -> error("XX000");
                 case LONG -> row("l".repeat(LONG));
                 case FULL -> error("53300");
-                default -> row(id.group(1));
+                default -> row(byKey ? "value of " + text.split("'")[1] : id.group(1));
             };
             byte[] answer = words.message('S', "rank", primary ? "source" : "copy")
                 .message('S', "as_of", Long.toString(positionMillis)).ready().bytes();
--- a/src/test/java/mintstair/standin/StandInHost.java
+++ b/src/test/java/mintstair/standin/StandInHost.java
@@ -26,6 +26,8 @@
     public final Map<String, Act> script = new ConcurrentHashMap<>();
     public volatile boolean primary;
     public volatile long positionMillis;
+    /** Whether a value is that of its key, the same each time, in place of the request's id. */
+    public volatile boolean byKey;
     /** What sees each request first, in the order of arrival at all hosts that share it. */
     public Consumer<String> witness = line -> { };
     private final AtomicInteger open = new AtomicInteger();
