Write exchanges as lines of JSON; replay writes through a break of the primary

Need: other tools are to read what a recording holds, and a replay of writes must not double one when the primary breaks.

Change: traffic convert writes a line for each exchange. A test replays 600 requests through the program while the primary breaks off every tenth and then for good.

--- a/src/main/java/mintstair/traffic/TrafficCommand.java
+++ b/src/main/java/mintstair/traffic/TrafficCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -25,7 +26,7 @@
 
 /** What operators do with recorded traffic from the command line. */
 @Command(name = "traffic", description = "Looks at recorded traffic, replays and compares it.", mixinStandardHelpOptions = true,
-    subcommands = {TrafficCommand.Info.class, TrafficCommand.Replay.class, TrafficCommand.Diff.class})
+    subcommands = {TrafficCommand.Info.class, TrafficCommand.Convert.class, TrafficCommand.Replay.class, TrafficCommand.Diff.class})
 public final class TrafficCommand {
     private TrafficCommand() { }
 
@@ -143,6 +144,50 @@
         }
     }
 
+    /** Writes the exchanges as lines of JSON, for other tools. */
+    @Command(name = "convert", description = "Writes the exchanges of a recording as lines of JSON, without the messages.",
+        mixinStandardHelpOptions = true)
+    static final class Convert implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Source source = new Source();
+
+        @Option(names = "--to", paramLabel = "FILE", required = true, description = "the file that is written, - for standard output")
+        private String to;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            Losses losses = new Losses();
+            PrintWriter out = spec.commandLine().getOut();
+            PrintWriter lines = to.equals("-") ? out : writer(Path.of(to));
+            try {
+                source.read(losses, e -> lines.println(ExchangeLine.of(e)));
+                lines.flush();
+                if (lines.checkError()) {
+                    throw new ConfigException(to + ": can't be written");
+                }
+            } finally {
+                if (lines != out) {
+                    lines.close();
+                }
+            }
+            if (!losses.toString().isEmpty()) {
+                System.err.println("lost in reading: " + losses);
+            }
+            return 0;
+        }
+
+        private static PrintWriter writer(Path file) {
+            try {
+                return new PrintWriter(Files.newBufferedWriter(file));
+            } catch (IOException e) {
+                throw new ConfigException(file + ": can't be written");
+            }
+        }
+    }
+
     /** Plays a recording to a front and compares the answers. */
     @Command(name = "replay", description = "Plays the requests of a recording to a front, each at its recorded distance, and compares"
         + " the answers; status 1 where some differ or could not be sent.", mixinStandardHelpOptions = true)
--- a/src/test/java/mintstair/traffic/RecordingTest.java
+++ b/src/test/java/mintstair/traffic/RecordingTest.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
+import mintstair.config.Json;
 import mintstair.pcap.Losses;
 import mintstair.pcap.PcapWriter;
 import mintstair.standin.Client;
@@ -245,6 +246,12 @@
         assertTrue(text.toString().contains("connections=1 requests=1 "), text.toString());
         assertTrue(text.toString().matches("(?s).*basket +1 +1 +0 +0 +0 +0 +1\\.0.*"), text.toString());
         assertTrue(text.toString().contains("lost: nothing"));
+        StringWriter lines = new StringWriter();
+        assertEquals(0, TrafficCommand.run(List.of("convert", "--to", "-", file.toString()), new PrintWriter(lines)));
+        Map<?, ?> line = (Map<?, ?>) Json.read(lines.toString().getBytes(StandardCharsets.UTF_8));
+        assertEquals("a basket 7f served 1.0", line.get("id") + " " + line.get("class") + " " + line.get("session") + " " + line.get("result") + " "
+            + line.get("latency_ms"));
+        assertEquals(2, TrafficCommand.run(List.of("convert", "--to", "/nowhere/x", file.toString()), new PrintWriter(lines)));
         Files.writeString(file, "no capture");
         assertEquals(2, TrafficCommand.run(List.of("info", file.toString()), new PrintWriter(text)));
         assertEquals(2, TrafficCommand.run(List.of("info"), new PrintWriter(text)));
--- a/src/test/java/mintstair/traffic/ReplayerTest.java
+++ b/src/test/java/mintstair/traffic/ReplayerTest.java
@@ -13,7 +13,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import mintstair.program.Program;
 import mintstair.standin.Client;
+import mintstair.standin.PgHost;
 import mintstair.standin.StandInHost;
 import mintstair.traffic.RecordedExchange.Result;
 import mintstair.wire.PgWriter;
@@ -92,6 +94,54 @@
         }
     }
 
+    /** Writes replayed through a front while the primary breaks off some of them, and then for good: none is sent twice. */
+    @Test
+    void noWriteIsSentTwiceThroughABreakOfThePrimary() throws Exception {
+        List<RecordedExchange> all = new ArrayList<>();
+        for (int i = 0; i < 600; i++) {
+            RecordedExchange e = recorded(i % 9, 1_700_000_000_000L + i, "a" + i % 30, i % 2 == 0, -1, Result.SERVED);
+            String text = new String(e.message(), 5, e.message().length - 6, StandardCharsets.ISO_8859_1);
+            all.add(with(e, Client.Pg.query(e.write() ? text.replace("c=any", "c=write") : text)));
+        }
+        List<String> atPrimary = Collections.synchronizedList(new ArrayList<>());
+        try (PgHost primary = new PgHost("p", true, System.currentTimeMillis() + 3_600_000); PgHost replica = new PgHost("r", false,
+                System.currentTimeMillis() + 3_600_000); Program program = Program.serve(1, primary.listed("SERVING") + ","
+                + replica.listed("SERVING"), true, null)) {
+            for (int i = 0; i < 600; i += 10) {
+                primary.script.put("x" + Integer.toHexString(i), StandInHost.Act.BREAK);
+            }
+            primary.witness = line -> {
+                atPrimary.add(line.split(" ")[0]);
+                if (atPrimary.size() == 200) {
+                    StandInHost.daemon(() -> {
+                        try {
+                            primary.close();
+                        } catch (IOException e) {
+                            throw new java.io.UncheckedIOException(e);
+                        }
+                    });
+                }
+            };
+            try (Replayer replayer = new Replayer(all, ReplayOptions.ALL, new InetSocketAddress("127.0.0.1", program.port(0)),
+                    Recording.Protocol.POSTGRESQL, "x")) {
+                List<Replayer.Played> played = replayer.play();
+                assertEquals(600, played.size(), "one final answer each");
+                List<String> writes = played.stream().filter(p -> p.planned().recorded.write()).map(p -> p.replayed().id()).toList();
+                List<String> seen = new ArrayList<>(primary.seen);
+                seen.addAll(replica.seen);
+                seen.retainAll(writes);
+                assertEquals(new HashSet<>(seen).size(), seen.size(), "a write was seen twice");
+                assertTrue(seen.size() > 50, seen.size() + " writes seen");
+                assertTrue(played.stream().anyMatch(p -> p.replayed().result() == Result.FAILED), "those broken off have failed");
+            }
+        }
+    }
+
+    private static RecordedExchange with(RecordedExchange e, byte[] message) {
+        return new RecordedExchange(e.connection(), e.asked(), e.answered(), e.id(), e.requestClass(), e.cluster(), e.session(), e.write(), e.retry(),
+            e.deadlineMillis(), e.afterMillis(), e.result(), e.comeBackMillis(), e.digest(), message);
+    }
+
     @Test
     void aFrontThatIsNotThereGivesNoAnswersAndAnEnd() throws Exception {
         List<RecordedExchange> all = List.of(recorded(1, 1_700_000_000_000L, "a1", false, -1, Result.SERVED),
