--- a/src/main/java/mintstair/traffic/Comparison.java
+++ b/src/main/java/mintstair/traffic/Comparison.java
@@ -1,6 +1,8 @@
 package mintstair.traffic;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -96,6 +98,31 @@
         return counts.isEmpty();
     }
 
+    /** One class's figures for a report; latencies in milliseconds at {@link #PERCENTILES}. */
+    public record Row(String name, long same, long answer, long value, long onlyFirst, long onlySecond, List<Double> first, List<Double> second) { }
+
+    /** Where latencies are told. */
+    public static final double[] PERCENTILES = {50, 90, 99, 99.9};
+
+    /** A row for each class. */
+    public List<Row> rows() {
+        List<Row> rows = new ArrayList<>();
+        classes.forEach((name, c) -> rows.add(new Row(name.isEmpty() ? "(none)" : name, c.same, of(c, Divergence.ANSWER), of(c, Divergence.VALUE),
+            of(c, Divergence.ONLY_FIRST), of(c, Divergence.ONLY_SECOND), latencies(c.first), latencies(c.second))));
+        return rows;
+    }
+
+    private static List<Double> latencies(Histogram h) {
+        return Arrays.stream(PERCENTILES).mapToObj(p -> h.getValueAtPercentile(p) / 1e3).toList();
+    }
+
+    /** The first divergence of each kind, in words. */
+    public List<String> firstOfEachKind() {
+        List<String> words = new ArrayList<>();
+        firstOfKind.forEach((kind, text) -> words.add(kind.name().toLowerCase(Locale.ROOT).replace('_', ' ') + ": " + text));
+        return words;
+    }
+
     /** A table by class, then the first divergence of each kind. */
     @Override
     public String toString() {
@@ -105,8 +132,7 @@
             name.isEmpty() ? "(none)" : name, c.same, of(c, Divergence.ANSWER), of(c, Divergence.VALUE), of(c, Divergence.ONLY_FIRST),
             of(c, Divergence.ONLY_SECOND), c.first.getValueAtPercentile(50) / 1e3, c.first.getValueAtPercentile(99) / 1e3,
             c.second.getValueAtPercentile(50) / 1e3, c.second.getValueAtPercentile(99) / 1e3)));
-        firstOfKind.forEach((kind, words) -> text.append("first by ").append(kind.name().toLowerCase(Locale.ROOT).replace('_', ' '))
-            .append(": ").append(words).append(System.lineSeparator()));
+        firstOfEachKind().forEach(words -> text.append("first by ").append(words).append(System.lineSeparator()));
         return text.toString();
     }
 
--- a/src/main/java/mintstair/traffic/TrafficCommand.java
+++ b/src/main/java/mintstair/traffic/TrafficCommand.java
@@ -48,6 +48,16 @@
         return 2;
     }
 
+    private static void write(Path report, String title, Comparison comparison) {
+        if (report != null) {
+            try {
+                Report.write(report, title, comparison);
+            } catch (IOException e) {
+                throw new ConfigException(report + ": can't be written: " + e.getMessage());
+            }
+        }
+    }
+
     /** Where the traffic of a recording is. */
     static final class Source {
         /** What a request holds on the heap beside its message, about. */
@@ -222,6 +232,9 @@
         @Option(names = "--retries", defaultValue = "recorded", description = "recorded: retries are played as they were; live: they are made anew")
         private String retries;
 
+        @Option(names = "--report", paramLabel = "FILE", description = "writes the comparison as a page with charts")
+        private Path report;
+
         @Option(names = "--retry-budget", defaultValue = "0.1", description = "for live retries, the share of first tries (${DEFAULT-VALUE})")
         private double budget;
 
@@ -261,6 +274,7 @@
             }
             out.println("lost in reading: " + (losses.toString().isEmpty() ? "nothing" : losses));
             out.flush();
+            write(report, "Replay to " + to, comparison);
             return comparison.isSame() && late == 0 ? 0 : 1;
         }
     }
@@ -275,6 +289,9 @@
         @Parameters(index = "1", paramLabel = "SECOND")
         private Path second;
 
+        @Option(names = "--report", paramLabel = "FILE", description = "writes the comparison as a page with charts")
+        private Path report;
+
         @Option(names = "--port", paramLabel = "PORT", description = "a port that PostgreSQL's clients connected to (5433)")
         private List<Integer> ports = List.of(5433);
 
@@ -293,6 +310,7 @@
             out.print(comparison);
             out.println("pairs=" + comparison.pairs() + " lost in reading: " + (losses.toString().isEmpty() ? "nothing" : losses));
             out.flush();
+            write(report, first.getFileName() + " and " + second.getFileName(), comparison);
             return comparison.isSame() ? 0 : 1;
         }
     }
--- a/src/test/java/mintstair/traffic/ReplayerTest.java
+++ b/src/test/java/mintstair/traffic/ReplayerTest.java
@@ -8,6 +8,8 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashSet;
@@ -152,6 +154,18 @@
         }
     }
 
+    @Test
+    void theReportIsAPageWithATableAndCharts() throws Exception {
+        Comparison c = Comparison.of(List.of(recorded(1, 1, "a<1", false, -1, Result.SERVED)), List.of(recorded(1, 1, "a<1", false, -1, Result.REFUSED)));
+        Path file = Files.createTempFile("mintstair", ".html");
+        Report.write(file, "before & after", c);
+        String page = Files.readString(file);
+        Files.delete(file);
+        assertTrue(page.contains("<title>before &amp; after</title>") && page.contains("<td>any</td>"), page.substring(0, 300));
+        assertEquals(2, page.split("data:image/png;base64,iVBOR", -1).length - 1, "two charts");
+        assertTrue(page.contains("answer: any old1 served "), "the first divergence");
+    }
+
     @Test
     void comparisonNamesTheFirstDivergenceOfEachKind() {
         List<RecordedExchange> a = List.of(recorded(1, 1, "a1", false, -1, Result.SERVED), recorded(1, 2, "a2", false, -1, Result.SERVED),
