Keep spare connections from pushing out each other where hosts are many

Counted per proxy by reason (opened for a call, for a spare, beside a call): every proxy held its limit of 64 connections (a sixth of 384 descriptors) for 60 hosts, and 2,156 of 3,529 were spares opened beside a call. Ruled out: idle limits (0 closed as idle), IdleTrust (no span doubted), connections found unclean (0).

At fault: HostPool.serve asked mayOpen(needed) with "something waits" for all it opened in that turn, spares too, so each call pushed out two idle connections of other hosts; and two spares for each of 60 hosts never fitted the limit.

Now only what a call waits for pushes out another host's idle connection; spares to each host are decided in Spares (no I/O) so that all fit into half of the limit; with many hosts known the hosts' share of descriptors grows, up to a third, or a quarter where it is set aside for a successor too.

The new test sees 6 connections opened in place of 4 on the code before.

--- a/src/main/java/mintstair/backend/Backends.java
+++ b/src/main/java/mintstair/backend/Backends.java
@@ -44,6 +44,7 @@
     final Counters counters;
     private final Map<String, HostPool> pools = new HashMap<>();
     private int open;
+    private int spares;
     Recorder recorder = Recorder.NONE;
 
     public Backends(Loop loop, Protocol protocol, TCPNIOTransport transport, long connectTimeout, long idle,
@@ -87,9 +88,9 @@
         return loop.now() - Math.min(idleLimit, trust.longest());
     }
 
-    /** Whether connections that are kept for a while can be relied on. */
-    boolean mayKeepSpares() {
-        return trust.longest() >= SWEEP_EVERY;
+    /** How many idle connections each host is to have; none where those kept for a while cannot be relied on. */
+    int spares() {
+        return trust.longest() >= SWEEP_EVERY ? spares : 0;
     }
 
     @Override
@@ -99,6 +100,7 @@
             named.add(entry.host());
             pools.computeIfAbsent(entry.host(), name -> new HostPool(name, this)).listed(entry);
         }
+        spares = Spares.each((int) pools.values().stream().filter(HostPool::isServing).count(), most);
         pools.forEach((name, pool) -> {
             if (list.whole() && !named.contains(name)) {
                 pool.gone();
--- a/src/main/java/mintstair/backend/HostPool.java
+++ b/src/main/java/mintstair/backend/HostPool.java
@@ -14,8 +14,6 @@
     /** More than this to one host serves nobody: it works on far fewer at a time. */
     private static final int MOST = 80;
 
-    /** Kept ready: a request that has to wait for a handshake first comes late by that much. */
-    private static final int READY = 2;
     /** Spare connections of a host that is new, or cannot be reached, are not opened by all proxies at once. */
     private static final long REST = 1_000_000;
     private static final long REST_MOST = 8_000_000;
@@ -59,6 +57,10 @@
         serve();
     }
 
+    boolean isServing() {
+        return serving;
+    }
+
     void gone() {
         goneSince = serving ? backends.loop.now() : goneSince;
         serving = false;
@@ -135,8 +137,10 @@
                 drop(c);
             }
         }
-        int wanted = waiting.size() + (serving && backends.loop.now() >= restUntil && backends.mayKeepSpares() ? Math.max(0, READY - idle.size()) : 0);
-        while (opening < wanted && all.size() < MOST && backends.mayOpen(!waiting.isEmpty())) {
+        boolean spares = serving && backends.loop.now() >= restUntil;
+        int wanted = waiting.size() + (spares ? Math.max(0, backends.spares() - idle.size()) : 0);
+        // Only what a call waits for pushes out another host's idle one: spares would push out each other without end.
+        while (opening < wanted && all.size() < MOST && backends.mayOpen(opening < waiting.size())) {
             opening++;
             HostConnection c = new HostConnection(this, backends);
             all.add(c);
--- a/src/main/java/mintstair/serve/Descriptors.java
+++ b/src/main/java/mintstair/serve/Descriptors.java
@@ -11,9 +11,14 @@
     /** Neither a client's nor a host's: the jar, listeners, selectors, discovery. */
     static final int OWN = 40;
 
-    /** Where a successor may start beside this process, its own descriptors and those to hosts are set aside for it. */
-    static Descriptors of(int sockets, int fronts, boolean upgradable) {
-        int hosts = Math.max(16, sockets / fronts / (upgradable ? 6 : 4));
+    /**
+     * Where a successor may start beside this process, its own descriptors and those to hosts are set aside for it. With many
+     * hosts known, theirs become more, up to a third, or a quarter where they are set aside twice: with fewer than two to a
+     * host, requests find no connection that is kept.
+     */
+    static Descriptors of(int sockets, int fronts, boolean upgradable, int known) {
+        int usual = sockets / fronts / (upgradable ? 6 : 4);
+        int hosts = Math.max(16, Math.max(usual, Math.min(2 * known, sockets / fronts / (upgradable ? 4 : 3))));
         int each = (sockets - OWN - (upgradable ? OWN : 0)) / fronts - (upgradable ? hosts : 0);
         int clients = Math.max(8, (each - hosts) * 8 / 9);
         while (clients > 8 && clients + Front.slack(clients) + hosts > each) {
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -122,7 +122,8 @@
         OperatorConfig.Recording record = operator.record();
         recorder = record == null || record.rotated() != null ? null : new PcapRecorder(loop, record);
         log = record == null || record.rotated() == null ? null : new LogRecorder(loop, record.rotated(), config.seed());
-        Descriptors share = Descriptors.of(config.sockets(), operator.mongodb() == null ? 1 : 2, control != null);
+        Descriptors share = Descriptors.of(config.sockets(), operator.mongodb() == null ? 1 : 2, control != null,
+            config.known() == null ? 0 : config.known().entries().size());
         // Beside one that serves this one starts small: until that has let its clients go, both share one limit.
         boolean beside = Listeners.at(config.listen()) > 0;
         int most = beside ? share.clients() / 2 : share.clients();
--- a/src/test/java/mintstair/backend/BackendsTest.java
+++ b/src/test/java/mintstair/backend/BackendsTest.java
@@ -135,6 +135,40 @@
         assertEquals(true, new String(reply.body(), StandardCharsets.UTF_8).contains(id), id);
     }
 
+    /** Guards against spare connections that push out each other, so that every call in a large fleet pays for two handshakes. */
+    @Test
+    void callsToMoreHostsThanHaveRoomForSparesFindTheirConnectionsKept() throws Exception {
+        Counters counters = new Counters();
+        Backends few = new Backends(loop, new PgProtocol(), transport, SECOND, 15 * SECOND, 6, new Random(1), counters);
+        List<HostList.Entry> entries = new ArrayList<>();
+        for (String name : new String[] {"a", "b", "c", "d"}) {
+            entries.add(entry(name, host.port()));
+        }
+        loop.execute(() -> few.listed(new HostList(1, true, entries)));
+        CompletableFuture<Long> opened = new CompletableFuture<>();
+        for (int i = 0; i < 40; i++) {
+            CompletableFuture<Reply> end = new CompletableFuture<>();
+            byte[] words = Client.Pg.query(Client.Pg.words(true, "id=kept" + i + ",c=write,cluster=1", 1));
+            String to = entries.get(i % 4).host();
+            // Later on the loop than the rest that a connection takes after its reply.
+            loop.at(loop.now() + 10_000, () -> few.send(to, wait -> words, loop.now() + SECOND, loop.now() + SECOND, end::complete));
+            assertEquals(ConnectionEnd.SERVED, end.get(20, TimeUnit.SECONDS).end());
+        }
+        loop.execute(() -> opened.complete(counters.hostsOpened));
+        assertEquals(4, opened.get(20, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void sparesFitIntoAShareOfWhatMayBeOpen() {
+        for (int most = 1; most < 400; most++) {
+            for (int hosts = 0; hosts < 500; hosts += 7) {
+                int each = Spares.each(hosts, most);
+                assertTrue(each >= 0 && each <= 2 && each * hosts <= most / 2, each + " to each of " + hosts + " of " + most);
+            }
+        }
+        assertEquals(2, Spares.each(12, 64));
+    }
+
     /** Guards against growth over a long day: of a host that is gone nothing is kept, nor of one listed elsewhere. */
     @Test
     void connectionsOfAHostThatIsGoneAreClosed() throws Exception {
--- a/src/test/java/mintstair/serve/LimitsTest.java
+++ b/src/test/java/mintstair/serve/LimitsTest.java
@@ -103,7 +103,7 @@
     @Test
     void descriptorsAreSharedOutInFull() {
         for (int sockets : new int[] {256, 384, 1024}) {
-            Descriptors share = Descriptors.of(sockets, 1, false);
+            Descriptors share = Descriptors.of(sockets, 1, false, 3);
             int all = share.clients() + Front.slack(share.clients()) + share.hosts() + Descriptors.OWN;
             assertTrue(all <= sockets && all > sockets * 9 / 10 && share.clients() > sockets / 2, share.toString());
         }
@@ -113,11 +113,21 @@
     @Test
     void successorFindsRoomBesideAFullProcess() {
         for (int sockets : new int[] {256, 384, 1024}) {
-            Descriptors share = Descriptors.of(sockets, 1, true);
+            Descriptors share = Descriptors.of(sockets, 1, true, 3);
             int full = share.clients() + Front.slack(share.clients()) + share.hosts() + Descriptors.OWN;
             assertTrue(full + share.hosts() + Descriptors.OWN <= sockets, share.toString());
             assertTrue(share.clients() >= sockets / 4, share.toString());
         }
+        // Nor do many hosts, known from a list of any length, take what clients need.
+        for (int sockets : new int[] {128, 256, 384, 1024}) {
+            for (int known : new int[] {0, 12, 60, 500}) {
+                Descriptors share = Descriptors.of(sockets, 1, true, known);
+                int full = share.clients() + Front.slack(share.clients()) + share.hosts() + Descriptors.OWN;
+                assertTrue(sockets < 256 || full + share.hosts() + Descriptors.OWN <= sockets, share + " of " + sockets);
+                assertTrue(share.hosts() <= Math.max(16, sockets / 3), share.toString());
+                assertTrue(sockets < 256 || share.clients() >= sockets / 8, share.toString());
+            }
+        }
     }
 
     /** Guards against a start that waits for its time to run out: in memory nothing has to be waited for. */
