--- a/src/main/java/mintstair/backend/Backends.java
+++ b/src/main/java/mintstair/backend/Backends.java
@@ -44,6 +44,7 @@
     final Counters counters;
     private final Map<String, HostPool> pools = new HashMap<>();
     private int open;
+    private boolean opened;
     private int spares;
     Recorder recorder = Recorder.NONE;
 
@@ -90,7 +91,16 @@
 
     /** How many idle connections each host is to have; none where those kept for a while cannot be relied on. */
     int spares() {
-        return trust.longest() >= SWEEP_EVERY ? spares : 0;
+        return opened && trust.longest() >= SWEEP_EVERY ? spares : 0;
+    }
+
+    /**
+     * Clients come from now on: spare connections are opened, not to all hosts at once. Before, this process is busy with its
+     * start and they would not come up in time, at the cost of a handshake each.
+     */
+    public void open() {
+        opened = true;
+        pools.values().forEach(HostPool::spareLater);
     }
 
     @Override
--- a/src/main/java/mintstair/backend/HostPool.java
+++ b/src/main/java/mintstair/backend/HostPool.java
@@ -36,6 +36,11 @@
         this.name = name;
         this.backends = backends;
         backoff = new Backoff(backends.random, REST, REST_MOST);
+        spareLater();
+    }
+
+    /** Lets spare connections wait for a random part of a second. */
+    void spareLater() {
         restUntil = backends.loop.now() + (long) (backends.random.nextDouble() * REST);
     }
 
--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -109,6 +109,7 @@
         listKnown.join();
         front.record(recorder);
         int port = front.listen(listen);
+        loop.execute(hosts::open);
         System.out.println("serving on " + listen.getHostString() + ":" + port);
         return port;
     }
--- a/src/test/java/mintstair/backend/BackendsTest.java
+++ b/src/test/java/mintstair/backend/BackendsTest.java
@@ -145,6 +145,7 @@
             entries.add(entry(name, host.port()));
         }
         loop.execute(() -> few.listed(new HostList(1, true, entries)));
+        loop.execute(few::open);
         CompletableFuture<Long> opened = new CompletableFuture<>();
         for (int i = 0; i < 40; i++) {
             CompletableFuture<Reply> end = new CompletableFuture<>();
@@ -158,6 +159,28 @@
         assertEquals(4, opened.get(20, TimeUnit.SECONDS));
     }
 
+    /** Guards against spare connections of a start that is too busy to greet on them in time: each costs its host a handshake. */
+    @Test
+    void spareConnectionsWaitUntilClientsCome() throws Exception {
+        Counters counters = new Counters();
+        Backends starts = new Backends(loop, new PgProtocol(), transport, SECOND, 15 * SECOND, 50, new Random(1), counters);
+        loop.execute(() -> starts.listed(new HostList(1, true, List.of(entry("a", host.port()), entry("b", host.port())))));
+        CompletableFuture<Long> before = new CompletableFuture<>();
+        // Later on the loop than the sweep by which spare connections of hosts listed for a second were opened.
+        loop.at(loop.now() + 2_500_000, () -> {
+            before.complete(counters.hostsOpened);
+            starts.open();
+        });
+        assertEquals(0, before.get(20, TimeUnit.SECONDS));
+        long opened = 0;
+        while (opened < 4) {
+            CompletableFuture<Long> now = new CompletableFuture<>();
+            loop.at(loop.now() + 50_000, () -> now.complete(counters.hostsOpened));
+            opened = now.get(20, TimeUnit.SECONDS);
+        }
+        assertEquals(4, opened);
+    }
+
     @Test
     void sparesFitIntoAShareOfWhatMayBeOpen() {
         for (int most = 1; most < 400; most++) {
