Spread calls to discovery that failed over all proxies; ask from the known revision on

Checked by a probe in which those turned away waited 8 s and more: the standing watches' late answer came 5.3 s after the herd's calls, ten times the 0.54 s that lie between two whole lists, and after that each call was answered within 0.8 s. So the work for a call that was turned away is done all the same, and our repeats alone kept the service full. Ruled out: that others overbook it (it was free once we held back); longer waits for the whole list (503 comes at 2 s whatever we wait).

At fault: Watch's retries of 0.1 to 2 s, whatever the number of proxies and hosts, and the whole list where the known revision would do. CallSpread (no I/O) now draws waits from two to four rounds of all proxies' calls, a round being proxies x lines x 4 ms, 16 s at most; a watch begins at the known list's revision, with a short wait first, and asks for the whole where an older revision answers.

--- a/src/main/java/mintstair/config/Env.java
+++ b/src/main/java/mintstair/config/Env.java
@@ -18,6 +18,8 @@
 public final class Env {
     public final Settings settings;
     public final Map<String, Integer> classes = new LinkedHashMap<>();
+    /** How many proxies share the hosts and their list, this one included. */
+    public final int proxies;
     public final Map<String, Integer> tenants = new LinkedHashMap<>();
     public final long positionZero;
     public final List<?> reportFields;
@@ -46,7 +48,8 @@
         reportFields = list(report, "fields");
         connectionIdle = micros(map(env, "limits"), "connIdleS", 15);
         connectTimeout = micros(map(env, "limits"), "connectTimeoutS", 0.25);
-        settings = new Settings((int) number(env, "balancers", 1), (int) number(env, "position", 0),
+        proxies = (int) number(env, "balancers", 1);
+        settings = new Settings(proxies, (int) number(env, "position", 0),
             string(env, "locality", ""), kinds, shares, number(env, "overShareWorth", 1),
             string(info, "sessionMarks", "").equals("remembered"), check(string(info, "serverChecks", "none")),
             truth(info, "tellsPosition", false), string(info, "listRole", "none").equals("late"),
--- a/src/main/java/mintstair/discovery/Watch.java
+++ b/src/main/java/mintstair/discovery/Watch.java
@@ -32,9 +32,10 @@
  */
 public final class Watch {
     private static final long WAIT_MILLIS = 20_000;
+    /** Until it has answered, to tell soon whether its revisions are those of the list as last known. */
+    private static final long FIRST_WAIT_MILLIS = 2_000;
     private static final int OK = 200;
-    private static final long RETRY = 100_000;
-    private static final long RETRY_MOST = 2_000_000;
+    private static final long ANSWERED_WITHIN = 4_000_000;
 
     private final Loop loop;
     private final InetSocketAddress address;
@@ -42,17 +43,23 @@
     private final TCPNIOConnectorHandler connector;
     private Connection<?> connection;
     private Future<?> silence;
-    private long revision = -1;
+    private long revision;
+    private boolean hasAnswered;
     private final Backoff backoff;
     private int calls;
     private boolean ended;
 
-    public Watch(Loop loop, TCPNIOTransport transport, InetSocketAddress address, Random random,
-            Consumer<HostList> told) {
+    /**
+     * {@code known} is the list from whose revision on changes are asked for, or null for the whole; {@code proxies} share the
+     * service.
+     */
+    public Watch(Loop loop, TCPNIOTransport transport, InetSocketAddress address, HostList known, int proxies,
+            Random random, Consumer<HostList> told) {
         this.loop = loop;
         this.address = address;
         this.told = told;
-        backoff = new Backoff(random, RETRY, RETRY_MOST);
+        revision = known == null ? -1 : known.revision();
+        backoff = new CallSpread(proxies, known == null ? 0 : known.entries().size(), random).retries();
         connector = TCPNIOConnectorHandler.builder(transport).processor(FilterChainBuilder.stateless()
             .add(new TransportFilter()).add(new HttpClientFilter()).add(new Answers()).build()).build();
     }
@@ -94,11 +101,12 @@
         String path = "/registry/instances";
         HttpRequestPacket.Builder request = HttpRequestPacket.builder().method(Method.GET).uri(path)
             .protocol(Protocol.HTTP_1_1).header("Host", address.getHostString() + ":" + address.getPort());
+        long wait = hasAnswered ? WAIT_MILLIS : FIRST_WAIT_MILLIS;
         if (revision >= 0) {
-            request.query("index=" + revision + "&wait=" + WAIT_MILLIS);
+            request.query("index=" + revision + "&wait=" + wait);
         }
         connection.write(request.build());
-        giveUpAfter(revision < 0 ? 2_000_000 : WAIT_MILLIS * 1000 + 2_000_000);
+        giveUpAfter(ANSWERED_WITHIN + (revision < 0 ? 0 : wait * 1000));
     }
 
     /** An agent that was cut off stays silent on a connection that stays open. */
@@ -137,8 +145,9 @@
             // Turned away, as one of many: the list and the connection are as good as before, but not asked for at once.
             System.err.println("discovery: status " + status);
             int call = ++calls;
-            giveUpAfter(RETRY_MOST * 2);
-            loop.at(loop.now() + backoff.next(), () -> {
+            long pause = backoff.next();
+            giveUpAfter(ANSWERED_WITHIN + pause);
+            loop.at(loop.now() + pause, () -> {
                 if (call == calls && connection == by) {
                     ask();
                 }
@@ -156,6 +165,13 @@
             return;
         }
         backoff.reset();
+        hasAnswered = true;
+        if (!list.whole() && list.revision() < revision) {
+            // Another service, or one begun anew: what it calls changes is none to this list.
+            revision = -1;
+            ask();
+            return;
+        }
         revision = list.revision();
         ask();
         told.accept(list);
--- a/src/main/java/mintstair/serve/Rehearsal.java
+++ b/src/main/java/mintstair/serve/Rehearsal.java
@@ -33,9 +33,9 @@
  * router takes the hosts for slow. Nothing of it reaches a host, nor the router that serves.
  */
 final class Rehearsal {
-    private static final int REQUESTS = 600;
+    private static final int REQUESTS = 250;
     private static final int AT_ONCE = 8;
-    private static final int CLIENTS = 6;
+    private static final int CLIENTS = 3;
     private static final int QUERIES = 15;
     private static final String PRIMARY = "r0";
     private static final byte[] MISS = new PgWriter().error("ERROR", "25006", "no primary", null).ready().bytes();
--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -33,6 +33,7 @@
     private final Backends hosts;
     private final Dispatcher dispatcher;
     private final CompletableFuture<Void> listKnown = new CompletableFuture<>();
+    private final int proxies;
     private boolean told;
     private InetSocketAddress discovery;
     private Watch watch;
@@ -42,6 +43,7 @@
         this.loop = loop;
         this.transport = transport;
         random = new Random(seed);
+        proxies = env.proxies;
         hosts = new Backends(loop, protocol, transport, env.connectTimeout, env.connectionIdle,
             mostHostConnections, random, counters);
         dispatcher = new Dispatcher(loop, new RequestRouter(loop.now(), seed, env), hosts, counters,
@@ -74,7 +76,7 @@
         if (watch != null) {
             watch.end();
         }
-        watch = new Watch(loop, transport, address, random, list -> told(list, false));
+        watch = new Watch(loop, transport, address, null, proxies, random, list -> told(list, false));
         watch.start();
     }
 
@@ -98,7 +100,9 @@
                 dispatcher.listed(known, old);
             }
             if (discovery != null) {
-                discover(discovery);
+                this.discovery = discovery;
+                watch = new Watch(loop, transport, discovery, known, proxies, random, list -> told(list, false));
+                watch.start();
             }
         });
         loop.at(loop.now() + READY_AFTER, () -> listKnown.complete(null));
