Look for a primary for reads too; let swift primaries speak for one hardly asked

A lobby-read met the same failing primary up to seven times within 20 ms. Ruled out: want of room at the primary (few in flight), want of repeats (spare under 1 in one case of seven).

At fault: only writes looked for a new primary (mustConfirm), and with a draining one only it was polled; usablePrimary trusts a primary by its own answers alone, of which each of 14 proxies hears few; a read that failed at the primary had used up its polls.

Now a read that finds no usable primary has all members polled, by the same backing off; answers of all primaries count a fifth for one that was hardly asked while they are swift; a read may be proven by polls again after an error. A test found on the way that a draining primary's members were not polled at all.

Each of the three tests fails on the code before.

--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -41,6 +41,7 @@
     static final double LIMIT_UP = 0.02, LIMIT_DOWN = 0.03; // what a swift, a slow answer moves a limit by
     static final double LIMIT_OVER_USE = 1; // a strained limit is first cut to this many times its use
     static final double EVIDENCE_SPACING = 100_000; // answers further apart count more, up to tenfold
+    static final double POOLED_HEARD = 0.2; // of what swift primaries say for one hardly asked
     static final double POOLED = 5; // answers of one group that weigh as much as those of all groups
     static final double FORGET = 10_000_000; // without answers, limits and their evidence fade in this time
     static final double STRAIN_AIM = 0.45; // full: answers take this share of their aims; tails twice it
@@ -382,6 +383,8 @@
             fallen += NEWEST * (fell - fallen);
             g.fallen += NEWEST * (fell - g.fallen);
         }
+        // Where no primary can be used the next is looked for at once: writes may come too rarely.
+        if (h == null && (g.primary == null || g.primary.silent || !g.primary.ready)) mustConfirm(now, g);
         h = h != null ? h : usablePrimary(now, g, q);
         // Under lag the primary is full first: a miss is still cheaper than a refusal.
         return h == null && checked ? pick(now, g, q, need, g.reportAge, false) : h;
@@ -508,12 +511,12 @@
     private boolean mustConfirm(long now, Group g) {
         Host p = g.primary;
         if (!settings.limits().probing()) return false;
-        boolean lives = p != null && !p.silent && Math.max(p.heardAt, g.head) > now - CONFIRM;
+        boolean lives = p != null && p.ready && !p.silent && Math.max(p.heardAt, g.head) > now - CONFIRM;
         if (lives) g.seeks = 0;
         if (lives || now - g.soughtAt < SEEK_EVERY << Math.min(3, g.seeks)) return !lives;
         g.soughtAt = now;
         g.seeks++;
-        boolean all = p == null || p.silent || p.lost > 0 || now - p.polledAt < 2 * SEEK_EVERY;
+        boolean all = p == null || !p.ready || p.silent || p.lost > 0 || now - p.polledAt < 2 * SEEK_EVERY;
         for (Host h : g.members) {
             if (h.ready && !h.pollOut && (all || h == p)) ask(now, h);
         }
@@ -584,7 +587,9 @@
         double part = room(q) * (q.needsPrimary() ? 1 : reads) * warmth(p, now);
         // Reads that fall back in mass drown it: but for what its own answers speak for, their sum over all
         // routers stays in its room.
-        double heardOf = p.asPrimary.evidence / (p.asPrimary.evidence + POOLED);
+        double others = allPrimaries.strain < STRAIN_AIM ? POOLED_HEARD * allPrimaries.evidence : 0;
+        double evidence = p.asPrimary.evidence + others;
+        double heardOf = evidence / (evidence + POOLED);
         double fits = PRIMARY_READS / Math.max(1, g.members.size() - 1) / Math.max(g.fallen, fallen);
         if (!q.needsPrimary() && q.luck >= heardOf + (1 - heardOf) * fits) return null;
         boolean cold = p.cold && q.luck >= warmth(p, now);
@@ -624,6 +629,8 @@
         }
         if (q.out > 0) return;
         boolean late = q.kind.of.lateWorth() == 0 && q.repeatable() && now >= q.arrived + q.kind.of.aim();
+        // A read that failed at the primary may yet be proven elsewhere, before it meets the same fault again.
+        if (o.ending() == Ending.ERROR) q.asked = 0;
         if (late || !mayRepeat(now, q) || !spend(o.ending())) giveUp(now, q);
         else dispatch(now, q);
     }
--- a/src/test/java/mintstair/decision/SplitterTest.java
+++ b/src/test/java/mintstair/decision/SplitterTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import mintstair.decision.SplitterApi.*;
@@ -201,6 +202,83 @@
         assertEquals(List.of(500 * MS), late.comeBacks);
     }
 
+    /** Guards against reads that are refused until some write comes to look for the group's new primary. */
+    @Test
+    void readLooksForAPrimaryWhereTheOldOneDrains() {
+        Bed bed = new Bed().start().group();
+        bed.now += 400 * MS;
+        for (String r : List.of("r1", "r2", "r3")) {
+            bed.poll(r, bed.now - 5_000 * MS, Role.REPLICA);
+        }
+        bed.state("p", HostState.DRAINING);
+        bed.probes.clear();
+        bed.request(1, Bed.BOUNDED);
+        assertTrue(bed.probes.containsAll(List.of("r1", "r2", "r3")), bed.probes.toString());
+        bed.poll("r2", bed.now, Role.PRIMARY);
+        assertEquals("r2", bed.last().host());
+    }
+
+    /** Guards against a read that meets the same fault at its primary again and again, with replicas unasked. */
+    @Test
+    void readThatFailedAtThePrimaryIsProvenElsewhere() {
+        Bed bed = new Bed().start().group();
+        bed.now += 400 * MS;
+        bed.request(1, Bed.BOUNDED);
+        for (int i = 0; i < 20 && bed.sends.isEmpty(); i++) {
+            bed.answerPolls(300 * MS);
+            bed.pass(5 * MS);
+        }
+        assertEquals("p", bed.last().host());
+        bed.answerPolls(300 * MS);
+        bed.now += 40 * MS;
+        int polls = bed.probes.size();
+        bed.outcome(bed.last(), 0, Ending.ERROR);
+        assertTrue(bed.probes.size() > polls);
+        assertEquals(1, bed.sends.size());
+        bed.answerPolls(10 * MS);
+        assertFalse(bed.last().host().equals("p"));
+    }
+
+    /** Of fifty reads that fall to a primary which was never asked, those sent there; another's answers took this long. */
+    private static int sentUnheard(long latency) {
+        int sent = 0;
+        for (int n = 0; n < 50; n++) {
+            Bed bed = new Bed();
+            bed.seed = n;
+            bed.oneSession = false;
+            bed.routers = 14;
+            bed.start();
+            List<HostEntry> hosts = new ArrayList<>();
+            for (int g = 0; g < 2; g++) {
+                for (String h : List.of("p", "r1", "r2", "r3")) {
+                    hosts.add(new HostEntry(h + g, false, "z", g, HostState.READY, 1, 0));
+                }
+            }
+            bed.list(ListKind.WHOLE, hosts.toArray(HostEntry[]::new));
+            hosts.forEach(h -> bed.poll(h.host(), bed.now - (h.host().startsWith("p") ? 0 : 9_000 * MS),
+                h.host().startsWith("p") ? Role.PRIMARY : Role.REPLICA));
+            for (int i = 0; i < 60; i++) {
+                bed.router.onRequest(bed.now, new Request(i, Bed.SESSION, 1, "s" + i, 0, false, 1200 * MS, 5 * MS));
+                bed.now += latency;
+                if (!bed.sends.isEmpty() && bed.last().id() == i) {
+                    bed.router.onOutcome(bed.now, new Outcome(i, 0, "p1", Ending.OK, latency, true, Role.PRIMARY, bed.now));
+                }
+            }
+            bed.router.onRequest(bed.now, new Request(99, Bed.SESSION, 0, "of " + n, 0, false, 1200 * MS, 5 * MS));
+            sent += bed.last().id() == 99 ? 1 : 0;
+        }
+        return sent;
+    }
+
+    /** Guards against refusals by each of many proxies, none of which hears enough of one primary to trust it. */
+    @Test
+    void swiftAnswersOfOtherPrimariesSpeakForOneThatWasHardlyAsked() {
+        int swift = sentUnheard(20 * MS);
+        int strained = sentUnheard(350 * MS);
+        assertTrue(swift >= 20, swift + " of 50");
+        assertTrue(strained <= 16, strained + " of 50");
+    }
+
     @Test
     void clockThatGoesBackIsTakenToStand() {
         Bed bed = new Bed().start().group();
