--- a/src/main/java/mintstair/backend/HostPool.java
+++ b/src/main/java/mintstair/backend/HostPool.java
@@ -146,6 +146,7 @@
         int wanted = waiting.size() + (spares ? Math.max(0, backends.spares() - idle.size()) : 0);
         // Only what a call waits for pushes out another host's idle one: spares would push out each other without end.
         while (opening < wanted && all.size() < MOST && backends.mayOpen(opening < waiting.size())) {
+            backends.counters.hostsSpare += opening < waiting.size() ? 0 : 1;
             opening++;
             HostConnection c = new HostConnection(this, backends);
             all.add(c);
@@ -170,6 +171,7 @@
 
     void openingFailed(HostConnection c, ConnectionEnd why) {
         opening--;
+        backends.counters.hostsNotUp++;
         // A host that is out of reach is not knocked at for the sake of spare connections.
         restUntil = backends.loop.now() + backoff.next();
         closed(c);
--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -629,7 +629,7 @@
         }
         if (q.out > 0) return;
         boolean late = q.kind.of.lateWorth() == 0 && q.repeatable() && now >= q.arrived + q.kind.of.aim();
-        // A read that failed at the primary may yet be proven elsewhere, before it meets the same fault again.
+        // What failed at the primary may be proven elsewhere before it meets the same fault again.
         if (o.ending() == Ending.ERROR) q.asked = 0;
         if (late || !mayRepeat(now, q) || !spend(o.ending())) giveUp(now, q);
         else dispatch(now, q);
--- a/src/main/java/mintstair/discovery/Watch.java
+++ b/src/main/java/mintstair/discovery/Watch.java
@@ -25,6 +25,7 @@
 import mintstair.proxy.Loop;
 import mintstair.request.HostList;
 import mintstair.retry.Backoff;
+import mintstair.stats.Counters;
 
 /**
  * Keeps a watch on discovery: the whole list first, then one call for changes after the other. The next call
@@ -40,6 +41,7 @@
     private final Loop loop;
     private final InetSocketAddress address;
     private final Consumer<HostList> told;
+    private final Counters counters;
     private final TCPNIOConnectorHandler connector;
     private Connection<?> connection;
     private Future<?> silence;
@@ -54,10 +56,11 @@
      * service.
      */
     public Watch(Loop loop, TCPNIOTransport transport, InetSocketAddress address, HostList known, int proxies,
-            Random random, Consumer<HostList> told) {
+            Random random, Counters counters, Consumer<HostList> told) {
         this.loop = loop;
         this.address = address;
         this.told = told;
+        this.counters = counters;
         revision = known == null ? -1 : known.revision();
         backoff = new CallSpread(proxies, known == null ? 0 : known.entries().size(), random).retries();
         connector = TCPNIOConnectorHandler.builder(transport).processor(FilterChainBuilder.stateless()
@@ -106,6 +109,7 @@
             request.query("index=" + revision + "&wait=" + wait);
         }
         connection.write(request.build());
+        counters.listCalls++;
         giveUpAfter(ANSWERED_WITHIN + (revision < 0 ? 0 : wait * 1000));
     }
 
@@ -123,6 +127,7 @@
             return;
         }
         drop();
+        counters.listCallsFailed++;
         loop.at(loop.now() + backoff.next(), this::start);
     }
 
@@ -145,6 +150,7 @@
             // Turned away, as one of many: the list and the connection are as good as before, but not asked for at once.
             System.err.println("discovery: status " + status);
             int call = ++calls;
+            counters.listCallsFailed++;
             long pause = backoff.next();
             giveUpAfter(ANSWERED_WITHIN + pause);
             loop.at(loop.now() + pause, () -> {
--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -76,7 +76,7 @@
         if (watch != null) {
             watch.end();
         }
-        watch = new Watch(loop, transport, address, null, proxies, random, list -> told(list, false));
+        watch = new Watch(loop, transport, address, null, proxies, random, counters, list -> told(list, false));
         watch.start();
     }
 
@@ -101,7 +101,7 @@
             }
             if (discovery != null) {
                 this.discovery = discovery;
-                watch = new Watch(loop, transport, discovery, known, proxies, random, list -> told(list, false));
+                watch = new Watch(loop, transport, discovery, known, proxies, random, counters, list -> told(list, false));
                 watch.start();
             }
         });
--- a/src/main/java/mintstair/stats/Counters.java
+++ b/src/main/java/mintstair/stats/Counters.java
@@ -22,6 +22,12 @@
     public long clientsTurnedAway;
     public long clientsIdledOut;
     public long hostsOpened;
+    /** Of those, the ones opened ahead of need, and the ones that did not come up. */
+    public long hostsSpare;
+    public long hostsNotUp;
+    /** Calls to discovery, and those that it turned away, broke off or did not answer. */
+    public long listCalls;
+    public long listCallsFailed;
     /** Attempts whose last byte was written to a host; counted where that happens, on any thread. */
     public final AtomicLong written = new AtomicLong();
     /** Connections closed at once, as more came than could be told that there is no room. */
@@ -70,7 +76,9 @@
             + " failed=" + failed + " abandoned=" + abandoned + " overdue=" + overdue + " malformed=" + malformed
             + " sent=" + sent + " probes=" + probes + " client_connections=" + clientsOpened
             + " clients_turned_away=" + clientsTurnedAway
-            + " clients_shut_out=" + shutOut + " clients_idled_out=" + clientsIdledOut + " host_connections=" + hostsOpened);
+            + " clients_shut_out=" + shutOut + " clients_idled_out=" + clientsIdledOut + " host_connections=" + hostsOpened
+            + " host_connections_spare=" + hostsSpare + " host_connections_not_up=" + hostsNotUp
+            + " list_calls=" + listCalls + " list_calls_failed=" + listCallsFailed);
         for (ConnectionEnd end : ConnectionEnd.values()) {
             line.append(" ended_").append(end.name().toLowerCase(Locale.ROOT)).append('=')
                 .append(ends[end.ordinal()]);
--- a/src/test/java/mintstair/discovery/WatchTest.java
+++ b/src/test/java/mintstair/discovery/WatchTest.java
@@ -13,6 +13,7 @@
 import mintstair.program.Program;
 import mintstair.proxy.Loop;
 import mintstair.request.HostList;
+import mintstair.stats.Counters;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.junit.jupiter.api.Test;
@@ -42,9 +43,10 @@
         server.start();
         TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance().setSelectorRunnersCount(1).build();
         transport.start();
+        Counters counters = new Counters();
         List<HostList> told = new CopyOnWriteArrayList<>();
         try (Loop loop = new Loop()) {
-            Watch watch = new Watch(loop, transport, server.getAddress(), null, 3, new Random(1), told::add);
+            Watch watch = new Watch(loop, transport, server.getAddress(), null, 3, new Random(1), counters, told::add);
             loop.execute(watch::start);
             Program.await(() -> calls.get() > 4 && told.size() > 1, "the list after the refusals");
             loop.execute(watch::end);
@@ -52,6 +54,8 @@
             transport.shutdownNow();
             server.stop(0);
         }
+        assertEquals(3, counters.listCallsFailed);
+        assertTrue(counters.listCalls >= 5);
         assertEquals("null", asked.get(0));
         assertEquals("null", asked.get(1), "there is no revision yet");
         for (int i = 2; i < 5; i++) {
@@ -76,9 +80,10 @@
         server.start();
         TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance().setSelectorRunnersCount(1).build();
         transport.start();
+        Counters counters = new Counters();
         List<HostList> told = new CopyOnWriteArrayList<>();
         try (Loop loop = new Loop()) {
-            Watch watch = new Watch(loop, transport, server.getAddress(), new HostList(41, true, List.of()), 3, new Random(1), told::add);
+            Watch watch = new Watch(loop, transport, server.getAddress(), new HostList(41, true, List.of()), 3, new Random(1), counters, told::add);
             loop.execute(watch::start);
             Program.await(() -> told.size() > 0 && asked.size() > 2, "the whole list");
             loop.execute(watch::end);
