Rehearse by the number of proxies: cold code met the crowd of a small fleet

At fault: the rehearsal of 250 requests for every fleet. Of two proxies each meets 300 requests a second at its start, of fourteen 70.

Requests rehearsed are now 4,000 over the number of proxies told, 285 to 2,000 for these fleets.

--- a/src/main/java/mintstair/serve/Rehearsal.java
+++ b/src/main/java/mintstair/serve/Rehearsal.java
@@ -33,10 +33,17 @@
  * router takes the hosts for slow. Nothing of it reaches a host, nor the router that serves.
  */
 final class Rehearsal {
-    private static final int REQUESTS = 250;
+    /**
+     * Requests are rehearsed for one proxy of a few, which meets a crowd at its start; each of many meets a small part of it,
+     * and a start that takes longer keeps more of them away together after a release.
+     */
+    private static final int REQUESTS_MOST = 2_000;
+    private static final int REQUESTS_LEAST = 250;
+    private static final int REQUESTS_OF_ALL = 4_000;
     private static final int AT_ONCE = 8;
-    private static final int CLIENTS = 3;
-    private static final int QUERIES = 15;
+    /** So many requests are rehearsed for each connection that is made to the front. */
+    private static final int A_CLIENT = 95;
+    private static final int QUERIES = 20;
     private static final String PRIMARY = "r0";
     private static final byte[] MISS = new PgWriter().error("ERROR", "25006", "no primary", null).ready().bytes();
 
@@ -46,22 +53,28 @@
     private final Dispatcher dispatcher;
     private final List<String> classes;
     private final CountDownLatch done = new CountDownLatch(AT_ONCE);
-    private int left = REQUESTS;
+    private int left;
 
     private Rehearsal(Env env) {
         classes = new ArrayList<>(env.classes.keySet());
+        left = requests(env.proxies);
         dispatcher = new Dispatcher(loop, new RequestRouter(loop.now(), 1, env), new Scripted(), new Counters(),
             line -> { });
         rules = new RequestRules(dispatcher);
     }
 
+    /** How many requests are rehearsed where so many proxies share the clients. */
+    static int requests(int proxies) {
+        return Math.max(REQUESTS_LEAST, Math.min(REQUESTS_MOST, REQUESTS_OF_ALL / Math.max(1, proxies)));
+    }
+
     /** Runs requests for {@code millis} at most, and asks the front that listens here; tells whether all came through. */
     static boolean run(Env env, InetSocketAddress front, long millis) {
         long end = System.nanoTime() + millis * 1_000_000;
         Rehearsal rehearsal = new Rehearsal(env);
         try (Loop loop = rehearsal.loop) {
             loop.execute(rehearsal::begin);
-            askFront(front, end);
+            askFront(front, Math.max(3, requests(env.proxies) / A_CLIENT), end);
             return rehearsal.done.await(end - System.nanoTime(), TimeUnit.NANOSECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -141,10 +154,10 @@
     }
 
     /** As its own client, with questions that go to no host; what fails here, fails for clients too, and is told there. */
-    private static void askFront(InetSocketAddress front, long end) {
+    private static void askFront(InetSocketAddress front, int clients, long end) {
         byte[] startup = new PgWriter().packet(196608, "user", "web", "database", "orders", "").bytes();
         byte[] query = new PgWriter().message('Q', "SHOW counters").bytes();
-        for (int i = 0; i < CLIENTS && System.nanoTime() < end; i++) {
+        for (int i = 0; i < clients && System.nanoTime() < end; i++) {
             try (Socket client = new Socket(front.getAddress(), front.getPort())) {
                 client.setTcpNoDelay(true);
                 client.setSoTimeout(500);
--- a/src/test/java/mintstair/serve/LimitsTest.java
+++ b/src/test/java/mintstair/serve/LimitsTest.java
@@ -133,6 +133,7 @@
     /** Guards against a start that waits for its time to run out: in memory nothing has to be waited for. */
     @Test
     void rehearsalComesThroughAndReachesNoHost() throws IOException {
+        assertTrue(Rehearsal.requests(2) > 2 * Rehearsal.requests(14) && Rehearsal.requests(1000) == Rehearsal.requests(100));
         assertTrue(Rehearsal.run(env(), new InetSocketAddress("127.0.0.1", port), 30_000));
         try (Client.Pg client = new Client.Pg(port)) {
             client.raw(Client.Pg.query("SHOW counters"));
