--- a/src/main/java/mintstair/serve/Rehearsal.java
+++ b/src/main/java/mintstair/serve/Rehearsal.java
@@ -42,7 +42,7 @@
     private static final int REQUESTS_OF_ALL = 4_000;
     private static final int AT_ONCE = 8;
     /** So many requests are rehearsed for each connection that is made to the front. */
-    private static final int A_CLIENT = 95;
+    private static final int A_CLIENT = 133;
     private static final int QUERIES = 20;
     private static final String PRIMARY = "r0";
     private static final byte[] MISS = new PgWriter().error("ERROR", "25006", "no primary", null).ready().bytes();
