Open spare connections from the start on where hosts are few

At fault: spare connections that wait until clients come, meant for 60 hosts, also in a fleet of two proxies and 11 hosts, where they come up in time and the first requests need them. They wait now only where all hosts' spares do not fit.

--- a/src/main/java/mintstair/backend/Backends.java
+++ b/src/main/java/mintstair/backend/Backends.java
@@ -91,12 +91,12 @@
 
     /** How many idle connections each host is to have; none where those kept for a while cannot be relied on. */
     int spares() {
-        return opened && trust.longest() >= SWEEP_EVERY ? spares : 0;
+        return (opened || spares == Spares.READY) && trust.longest() >= SWEEP_EVERY ? spares : 0;
     }
 
     /**
-     * Clients come from now on: spare connections are opened, not to all hosts at once. Before, this process is busy with its
-     * start and they would not come up in time, at the cost of a handshake each.
+     * Clients come from now on: spare connections are opened, not to all hosts at once. Where hosts are too many for all of their
+     * spares they are not opened before: this process is busy with its start, and they would not come up in time.
      */
     public void open() {
         opened = true;
--- a/src/main/java/mintstair/backend/Spares.java
+++ b/src/main/java/mintstair/backend/Spares.java
@@ -7,7 +7,7 @@
  */
 final class Spares {
     /** Kept ready to each host where hosts are few. */
-    private static final int READY = 2;
+    static final int READY = 2;
     /** Of all connections that may be open, this share may be idle spares; the rest is for requests. */
     private static final double SHARE = 0.5;
 
