Send reads that no replica is known to take to a primary with room before polls

Each proxy hears a group about once in two seconds, so nearly every read found no proven replica and polled two members, although the primary had room for it. Counted by cause with counters logged every 5 s (not kept); the timer's polls were none, those for a primary 788.

Checked and ruled out: the timed polls (their interval is bounded by price and came to 43 s a host) and DEMAND_BUDGET (0.75 polls a request, not reached).

At fault: ReadWriteSplitter.choose, which asked mayProve before usablePrimary. Now a read that no proven replica takes goes to a primary that has room for it, unless it was at the primary already (an error there is still proven elsewhere first); its fall is counted as before, so the guard on reads that fall back in mass holds. This is the design's own order: a replica known to have reached the token, else the primary.

--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -376,8 +376,11 @@
         long need = need(now, q);
         long guess = checked && q.kind.of.freshness() == Freshness.BOUNDED ? g.reportAge : 0;
         Host h = pick(now, g, q, need, guess, true);
-        if ((h == null || crowded(h)) && mayProve(now, g, q, need)) return null;
-        h = h != null ? h : pick(now, g, q, need, guess, false);
+        // A poll costs more than a read gains on a replica in place of a primary with room for it: where a
+        // router hears little, nearly each read would need one.
+        Host p = h == null && !q.isAt(g.primary, true) ? usablePrimary(now, g, q) : null;
+        if (p == null && (h == null || crowded(h)) && mayProve(now, g, q, need)) return null;
+        h = h != null || p != null ? h : pick(now, g, q, need, guess, false);
         if (!q.counted) {
             q.counted = true;
             double fell = h == null ? 1 : 0;
@@ -386,7 +389,7 @@
         }
         // Where no primary can be used the next is looked for at once: writes may come too rarely.
         if (h == null && (g.primary == null || g.primary.silent || !g.primary.ready)) mustConfirm(now, g);
-        h = h != null ? h : usablePrimary(now, g, q);
+        h = h != null ? h : p != null ? p : usablePrimary(now, g, q);
         // Under lag the primary is full first: a miss is still cheaper than a refusal.
         return h == null && checked ? pick(now, g, q, need, g.reportAge, false) : h;
     }
