Keep one write in flight at a primary whose answers are slow but come

A log line at each such refusal (not kept) showed the primary with nothing of this router in flight, warm, ready, not silent, never full; its limit 0.42 to 0.92: the pooled limit of all primaries, strained at 0.4 to 0.8 by answers that were slow for their aims, had been cut to this router's own use, which is below one where a router hears little. p.inFlight + luck < limit then let only that share of writes through to an idle primary.

Ruled out: polls to confirm the primary (878 waits, soon over), no primary known, a silent or cold one (none at the refusals).

At fault: Limit.sample, whose cut under strain went down to `least` (0.02 or 2 / routers). Now answers that are slow but come leave a primary's limit, and the pooled one of all primaries, one in flight at least; answers turned away, missing or later than 1.5 of their aim (NOT_IN_TIME) cut it as before, and replicas' limits are as before, as reads have other places.

--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -46,6 +46,7 @@
     static final double POOLED = 5; // answers of one group that weigh as much as those of all groups
     static final double FORGET = 10_000_000; // without answers, limits and their evidence fade in this time
     static final double STRAIN_AIM = 0.45; // full: answers take this share of their aims; tails twice it
+    static final double NOT_IN_TIME = 1.5; // of its aim: an answer turned away, missing or as late
     static final double SWIFT = 0.75; // swift: less than this share of that
     static final double OVERDUE = 0.7; // share of its aim after which an answer still out counts
     static final double LEAST_WORTH_ROOM = 0.8, OVER_SHARE_ROOM = 0.6; // of a limit: low worth, over share
@@ -88,12 +89,14 @@
 
     /** A learned number of requests in flight, for a primary or for each replica of a group in the mean. */
     static final class Limit {
-        final double least, first;
+        final double least, first, kept;
         final Limit pooled;
         double value, strain, swift, missing, evidence, used = 1;
         long at;
 
-        Limit(int routers, Limit pooled) {
+        /** {@code kept}: the fewest in flight that slow answers alone leave; 1 at a primary, for writes. */
+        Limit(int routers, Limit pooled, double kept) {
+            this.kept = kept;
             least = Math.max(LEAST_LIMIT_HERE, LEAST_LIMIT / routers);
             first = Math.max(FIRST_LIMIT_HERE, FIRST_LIMIT / routers);
             value = first;
@@ -119,11 +122,14 @@
             // Answers that are missing while the rest is swift are lost, unless it is most that are missing.
             missing += newest * ((answered ? 0 : 1) - missing);
             double ofSwift = missing > 0.5 ? 1 : swift / STRAIN_AIM / SWIFT;
-            strain += newest * ((answered ? ofAim : 1.5 * Math.min(1, ofSwift * ofSwift)) - strain);
+            strain += newest * ((answered ? ofAim : NOT_IN_TIME * Math.min(1, ofSwift * ofSwift)) - strain);
             // A limit far over its use does nothing: it starts to sink from where it begins to bind.
             double down = value * (1 - LIMIT_DOWN * (full ? 10 : span));
+            // Slow answers that come leave a primary one in flight: below it a router that hears little
+            // holds back writes from a primary with none of its requests. Turned away or missing cut further.
+            double floor = ofAim < NOT_IN_TIME ? Math.max(least, Math.min(kept, value)) : least;
             if (full) value = Math.max(least, down);
-            else if (strain > STRAIN_AIM) value = Math.max(least, Math.min(down, LIMIT_OVER_USE * used));
+            else if (strain > STRAIN_AIM) value = Math.max(floor, Math.min(down, LIMIT_OVER_USE * used));
             else if (inFlight > 0.5 * value || value < first) value *= 1 + LIMIT_UP * span;
             if (pooled != null) pooled.sample(now, ofAim, answered, false, inFlight, binding);
         }
@@ -141,8 +147,8 @@
         this.actions = actions;
         random = new Random(seed);
         adopt(now, settings);
-        allPrimaries = new Limit(settings.routers(), null);
-        allReplicas = new Limit(settings.routers(), null);
+        allPrimaries = new Limit(settings.routers(), null, 1);
+        allReplicas = new Limit(settings.routers(), null, 0);
         rateAt = now;
         awakeSince = now;
         if (settings.subscribe()) actions.subscribe();
@@ -248,7 +254,7 @@
             if (h.group.primary == h) h.group.primary = null;
         }
         if (h == null || h.group != g) {
-            h = new Host(e.host(), e.zone(), g, new Limit(settings.routers(), allPrimaries));
+            h = new Host(e.host(), e.zone(), g, new Limit(settings.routers(), allPrimaries, 1));
             // Routers that were all told at once do not all ask at once.
             long apart = Math.min(POLL_EVERY / 2, settings.routers() * POLL_APART);
             h.pollDue = now + (long) (random.nextDouble() * apart);
@@ -348,7 +354,7 @@
 
     private Group groupOf(int number) {
         return groups.computeIfAbsent(number,
-            n -> new Group(n, new Limit(settings.routers(), allReplicas), REPORT_AGE));
+            n -> new Group(n, new Limit(settings.routers(), allReplicas, 0), REPORT_AGE));
     }
 
     private void send(long now, Open q, Host h) {
@@ -725,7 +731,8 @@
         // What was given up when hardly begun, as its request's time ran out, tells nothing of a host.
         boolean givenUp = e == Ending.TIMEOUT || e == Ending.CANCELLED && !q.finished;
         if (e == Ending.OK || e == Ending.FULL || givenUp && o.latency() >= OVERDUE * k.of.aim()) {
-            double x = e == Ending.OK ? Math.min(1.5, (double) o.latency() / k.of.aim()) : 1.5;
+            double x = e == Ending.OK ? Math.min(NOT_IN_TIME, (double) o.latency() / k.of.aim())
+                : NOT_IN_TIME;
             strain(now, h, x, answered, e == Ending.FULL);
         }
     }
--- a/src/test/java/mintstair/decision/FleetTest.java
+++ b/src/test/java/mintstair/decision/FleetTest.java
@@ -416,6 +416,28 @@
         assertEquals("p", bed.last().host());
     }
 
+    /**
+     * Guards against a limit that slow answers alone cut below one in flight: a router that hears little then held back
+     * writes from a primary that had none of its requests, and refused them unsent after 0.8 of their aim.
+     */
+    @Test
+    void slowAnswersLeaveRoomForOneWriteOfEachRouter() {
+        List<Bed> fleet = fleet(100);
+        long sent = 0;
+        for (Bed bed : fleet) {
+            for (int i = 0; i < 10; i++) {
+                bed.request(i, Bed.UNSAFE_WRITE);
+                bed.now += 600 * MS;
+                if (!bed.sendsOf(i).isEmpty()) bed.outcome(bed.sendsOf(i).get(0), 0, Ending.OK);
+                bed.poll("p", bed.now, Role.PRIMARY);
+            }
+            bed.sends.clear();
+            bed.request(99, Bed.UNSAFE_WRITE);
+            sent += bed.sends.size();
+        }
+        assertEquals(100, sent, "writes sent at once to a primary with none of their router's in flight");
+    }
+
     /** Full replicas: to come again at once from hundreds of routers is what keeps them full. */
     @Test
     void routersWhoseRequestsAreTurnedAwayAsFullSendLess() {
