Log the least of the heap in use each minute, to see whether memory stays flat

Now the loop samples what is in use with the figures, each 0.1 s, and logs the least of a minute. Ruled out: the garbage collectors' beans, which tell it exactly but load the management classes on the loop, in all proxies at the same moment.

--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -34,6 +34,7 @@
 import mintstair.request.HostList;
 import mintstair.routing.RequestRouter;
 import mintstair.stats.Figures;
+import mintstair.stats.HeapFloor;
 import mintstair.wire.PgWriter;
 import org.glassfish.grizzly.nio.ChannelConfigurator;
 import org.glassfish.grizzly.nio.NIOTransport;
@@ -62,6 +63,8 @@
     /** Longer than an upgrade has two processes: 6 s to become ready, and 3.7 s after SIGTERM. */
     private static final long OVERLAP = 10_000_000;
     private static final long PUBLISH_EVERY = 100_000;
+    /** How often the heap is logged: memory that grows over a long day shows there. */
+    private static final long HEAP_EVERY = 60_000_000;
 
     private final NodeConfig config;
     private final OperatorConfig operator;
@@ -69,6 +72,7 @@
     private final TCPNIOTransport transport;
     private volatile Figures figures = new Figures.Sum().figures();
     private final Calls calls = new Calls(() -> figures);
+    private final HeapFloor heap = new HeapFloor();
     private ControlServer control;
     private int port;
     private volatile long longestDeadline;
@@ -142,6 +146,7 @@
             registry.start();
         }
         loop.execute(this::publish);
+        loop.at(loop.now() + HEAP_EVERY, this::tellHeap);
         loop.at(loop.now() + OVERLAP, () -> services.forEach(service -> service.front.mostClients(share.clients())));
         rehearse(config.listen());
         if (log != null && operator.record().rotated().hosts()) {
@@ -185,9 +190,15 @@
             log.addTo(sum);
         }
         figures = sum.figures();
+        heap.sample(Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
         loop.at(loop.now() + PUBLISH_EVERY, this::publish);
     }
 
+    private void tellHeap() {
+        System.out.println("heap: least in use " + heap.take() / 1024 + " kB in the last minute");
+        loop.at(loop.now() + HEAP_EVERY, this::tellHeap);
+    }
+
     private Service add(Protocol protocol, int most, Service.FrontMaker maker) {
         Service service = new Service(loop, transport, protocol, config.seed(), config.env(), most, maker);
         services.add(service);
