--- a/src/main/java/mintstair/Main.java
+++ b/src/main/java/mintstair/Main.java
@@ -12,6 +12,7 @@
 import mintstair.config.NodeConfig;
 import mintstair.config.OperatorConfig;
 import mintstair.config.RegistryConfig;
+import mintstair.control.MembersCommand;
 import mintstair.pcap.Replay;
 import mintstair.registry.RegistryCommand;
 import mintstair.serve.Proxy;
@@ -24,6 +25,7 @@
         + " | replay [--to HOST:PORT] [--port PORT] [--mongodb] FILE | store OPERATOR_FILE get KEY"
         + " | store OPERATOR_FILE put KEY VALUE"
         + " | traffic info FILE..."
+        + " | members HOST:PORT"
         + " | registry show|watch|put-host|drain|delete OPERATOR_FILE ...";
 
     private Main() { }
@@ -43,6 +45,8 @@
                 store(args);
             } else if (args.length >= 1 && args[0].equals("traffic")) {
                 System.exit(TrafficCommand.run(Arrays.asList(args).subList(1, args.length), new PrintWriter(System.out)));
+            } else if (args.length == 2 && args[0].equals("members")) {
+                System.exit(MembersCommand.run(NodeConfig.address(args[1]), System.out));
             } else if (args.length >= 3 && args[0].equals("registry")) {
                 registry(args);
             } else {
--- a/src/main/java/mintstair/config/OperatorConfig.java
+++ b/src/main/java/mintstair/config/OperatorConfig.java
@@ -10,7 +10,8 @@
 import mintstair.request.HostList;
 
 /** What an operator sets up beside the platform's front; every part is off where its name is missing. */
-public record OperatorConfig(Mongo mongodb, Recording record, Members store, RegistryConfig registry) {
+public record OperatorConfig(Mongo mongodb, Recording record, Members store, RegistryConfig registry,
+        MembershipConfig membership) {
     /** The second front: where it listens, and its hosts, listed here or by a discovery of their own. */
     public record Mongo(InetSocketAddress listen, InetSocketAddress discovery, HostList hosts) { }
 
@@ -27,8 +28,8 @@
     /** The replicated store: this daemon's member of it, all members, and the folder that this one keeps. */
     public record Members(String member, Map<String, InetSocketAddress> members, Path folder) { }
 
-    public static final OperatorConfig NONE = new OperatorConfig(null, null, null, null);
-    private static final Set<String> NAMES = Set.of("mongodb", "record", "store", "registry");
+    public static final OperatorConfig NONE = new OperatorConfig(null, null, null, null, null);
+    private static final Set<String> NAMES = Set.of("mongodb", "record", "store", "registry", "membership");
     private static final Set<String> RECORD_NAMES = Set.of("folder", "file_bytes", "file_s", "total_bytes", "queue_bytes", "hosts", "share",
         "digests");
     private static final long MOST_BYTES = 64 << 20;
@@ -51,7 +52,8 @@
             }
             return new OperatorConfig(map.get("mongodb") instanceof Map<?, ?> m ? mongo(m, listed) : null,
                 map.get("record") instanceof Map<?, ?> m ? recording(m) : null,
-                map.get("store") instanceof Map<?, ?> m ? members(m) : null, registry);
+                map.get("store") instanceof Map<?, ?> m ? members(m) : null, registry,
+                map.get("membership") instanceof Map<?, ?> m ? MembershipConfig.read(m) : null);
         } catch (IOException | IllegalArgumentException | ConfigException e) {
             throw NodeConfig.unusable(file, e);
         }
--- a/src/main/java/mintstair/control/Calls.java
+++ b/src/main/java/mintstair/control/Calls.java
@@ -8,6 +8,7 @@
     private static final String NO = "fail\n";
     private volatile boolean takesClients;
     private final Supplier<Figures> figures;
+    private volatile Supplier<String> members;
 
     /** {@code figures} gives the newest snapshot at once, whatever the loop is at. */
     public Calls(Supplier<Figures> figures) {
@@ -19,11 +20,17 @@
         takesClients = does;
     }
 
+    /** Gives the lines of the fleet as this process sees it; without, nobody is told of it. */
+    public void members(Supplier<String> lines) {
+        members = lines;
+    }
+
     /** The whole answer to one line; {@code fail} to what is no call. */
     String answer(String line) {
         return switch (line.strip()) {
             case "readyz" -> takesClients ? "ok\n" : NO;
             case "telemetry" -> "ok\n" + figures.get() + "eof\n";
+            case "members" -> members == null ? NO : "ok\n" + members.get() + "eof\n";
             default -> NO;
         };
     }
--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -5,8 +5,7 @@
 import mintstair.decision.SplitterApi.*;
 
 /**
- * All decisions of one router. Its types, events and actions are in SplitterApi.java, what it remembers in
- * RouterState.java.
+ * All decisions of one router; its types, events and actions are in SplitterApi, its state in RouterState.
  * The ordinary path: a session's last write is its token; a read goes to a random replica whose known
  * position has reached the token (or now minus the bound), else to the primary. Each departure below
  * says what it guards against; docs/design.md says under which condition it acts.
@@ -68,6 +67,7 @@
     static final long LIST_RETRY = 500_000; // before asking for the list again, doubled up to sixteenfold
     static final long GONE_KEPT = 10_000_000; // what is known of a host that is gone, should it come back
     static final double UNSENT_HELD = 0.45; // share of its client's time for which an unsent request is held
+    static final double BASE_SHARE = 0.5; // of what all routers share, whatever they know of each other
     static final long MISS_REST = 100_000; // a host that turned a request away rests this long
 
     private Settings settings;
@@ -85,6 +85,7 @@
     private long rateAt, wakeAt = Long.MAX_VALUE, awakeSince, alarmAt = RouterState.NEVER, lastSeen;
     private long youngestReport = REPORT_AGE / 4;
     private int listFailures;
+    private Fleet fleet;
     private double outThere, trustedThere, usualStretch, weights[] = new double[16];
 
     /** A learned number of requests in flight, for a primary or for each replica of a group in the mean. */
@@ -95,7 +96,7 @@
         long at;
 
         /** {@code kept}: the fewest in flight that slow answers alone leave; 1 at a primary, for writes. */
-        Limit(int routers, Limit pooled, double kept) {
+        Limit(double routers, Limit pooled, double kept) {
             this.kept = kept;
             least = Math.max(LEAST_LIMIT_HERE, LEAST_LIMIT / routers);
             first = Math.max(FIRST_LIMIT_HERE, FIRST_LIMIT / routers);
@@ -147,10 +148,9 @@
         this.actions = actions;
         random = new Random(seed);
         adopt(now, settings);
-        allPrimaries = new Limit(settings.routers(), null, 1);
-        allReplicas = new Limit(settings.routers(), null, 0);
-        rateAt = now;
-        awakeSince = now;
+        allPrimaries = new Limit(routers(), null, 1);
+        allReplicas = new Limit(routers(), null, 0);
+        rateAt = awakeSince = now;
         if (settings.subscribe()) actions.subscribe();
     }
 
@@ -159,6 +159,18 @@
         actions.log("settings changed: " + kinds.length + " classes");
     }
 
+    @Override public void onFleet(long at, Fleet told) {
+        clock(at);
+        fleet = told;
+    }
+
+    /** One in so many is this router's part of what all share; those of all settled ones add up to one. */
+    double routers() {
+        if (fleet == null) return settings.routers();
+        double rest = fleet.settled() ? (1 - BASE_SHARE) / fleet.counted() : 0;
+        return 1 / (BASE_SHARE / Math.max(settings.routers(), fleet.largest()) + rest);
+    }
+
     /** Takes these settings whole or not at all; what a class's answers have shown stays with its name. */
     private void adopt(long now, Settings all) {
         require(all.routers() > 0, "routers must be at least 1");
@@ -254,9 +266,9 @@
             if (h.group.primary == h) h.group.primary = null;
         }
         if (h == null || h.group != g) {
-            h = new Host(e.host(), e.zone(), g, new Limit(settings.routers(), allPrimaries, 1));
+            h = new Host(e.host(), e.zone(), g, new Limit(routers(), allPrimaries, 1));
             // Routers that were all told at once do not all ask at once.
-            long apart = Math.min(POLL_EVERY / 2, settings.routers() * POLL_APART);
+            long apart = Math.min(POLL_EVERY / 2, (long) (routers() * POLL_APART));
             h.pollDue = now + (long) (random.nextDouble() * apart);
             hosts.put(h.name, h);
             g.members.add(h);
@@ -329,7 +341,7 @@
     private boolean overShare(long now, int tenant) {
         if (tenant < 0) return false;
         double all = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
-        double part = Math.max(1.0 / settings.routers(), all > 0 ? requestRate / all : 0);
+        double part = Math.max(1 / routers(), all > 0 ? requestRate / all : 0);
         double quota = settings.tenants().get(tenant).quotaPerSecond() * part;
         Share s = shares[tenant];
         s.saved = Math.min(Math.max(SHARE_SAVED, quota), s.saved + quota * (now - s.at) / 1e6);
@@ -354,7 +366,7 @@
 
     private Group groupOf(int number) {
         return groups.computeIfAbsent(number,
-            n -> new Group(n, new Limit(settings.routers(), allReplicas, 0), REPORT_AGE));
+            n -> new Group(n, new Limit(routers(), allReplicas, 0), REPORT_AGE));
     }
 
     private void send(long now, Open q, Host h) {
@@ -382,9 +394,10 @@
         long need = need(now, q);
         long guess = checked && q.kind.of.freshness() == Freshness.BOUNDED ? g.reportAge : 0;
         Host h = pick(now, g, q, need, guess, true);
-        // A poll costs more than a read gains on a replica in place of a primary with room for it: where a
-        // router hears little, nearly each read would need one.
-        Host p = h == null && !q.isAt(g.primary, true) ? usablePrimary(now, g, q) : null;
+        // A poll serves the reads of its group within a bound. Where less than one comes in that time it
+        // costs more than that read gains on a replica in place of a primary with room for it.
+        boolean rare = rate(now) * tightestBound < 1e6 * groups.size();
+        Host p = rare && h == null && !q.isAt(g.primary, true) ? usablePrimary(now, g, q) : null;
         if (p == null && (h == null || crowded(h)) && mayProve(now, g, q, need)) return null;
         h = h != null || p != null ? h : pick(now, g, q, need, guess, false);
         if (!q.counted) {
@@ -524,7 +537,7 @@
         boolean lives = p != null && p.ready && !p.silent && Math.max(p.heardAt, g.head) > now - CONFIRM;
         if (lives) g.seeks = 0;
         // In the end all routers together ask a host no oftener than one alone does at first.
-        long wait = SEEK_EVERY * Math.min(1 << Math.min(10, g.seeks), Math.max(SEEK_FEW, settings.routers()));
+        double wait = SEEK_EVERY * Math.min(1 << Math.min(10, g.seeks), Math.max(SEEK_FEW, routers()));
         if (lives || now - g.soughtAt < wait) return !lives;
         g.soughtAt = now;
         g.seeks++;
--- a/src/main/java/mintstair/decision/SplitterApi.java
+++ b/src/main/java/mintstair/decision/SplitterApi.java
@@ -52,6 +52,12 @@
     public record Limits(int maxAttempts, boolean cancelling, boolean probing, boolean peerMessages,
             boolean secondCopies, boolean retryAfter, long maxRetryAfter) { }
 
+    /**
+     * How many routers there are, as far as this one knows: the largest number seen or told, those that may run
+     * and know of each other, and whether this one is {@code settled}: only if all that are so count each other.
+     */
+    public record Fleet(int largest, int counted, boolean settled) { }
+
     /** All that a router is told at its start. */
     public record Settings(int routers, int me, String zone, List<RequestClass> classes, List<Tenant> tenants,
             double overShareWorth, boolean rememberedTokens, ReadCheck readCheck, boolean positionsInAnswers,
@@ -89,6 +95,9 @@
         /** Other settings, from now on; open requests keep the class that they came with. */
         void onSettings(long now, Settings settings);
 
+        /** How many routers there are; where it is never told, those of the settings count. */
+        void onFleet(long now, Fleet fleet);
+
         /** A client's request, which is owed exactly one final answer. */
         void onRequest(long now, Request request);
 
--- a/src/main/java/mintstair/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -139,6 +139,11 @@
         carryOut(router.settings(loop.now(), env));
     }
 
+    /** How many proxies there are, as far as this one knows. */
+    public void proxies(News.Proxies proxies) {
+        carryOut(router.report(loop.now(), proxies));
+    }
+
     public void listed(HostList list, boolean old) {
         if (list.whole()) {
             serving.clear();
--- a/src/main/java/mintstair/routing/News.java
+++ b/src/main/java/mintstair/routing/News.java
@@ -16,6 +16,9 @@
     /** The client left before its answer. */
     record ClientGone(long request) implements News { }
 
+    /** How many proxies there are; {@code settled} only where all that are settled count each other. */
+    record Proxies(int largest, int counted, boolean settled) implements News { }
+
     /** The list of hosts, or changes to it. */
     record Listed(HostList list, boolean old) implements News { }
 }
--- a/src/main/java/mintstair/routing/RequestRouter.java
+++ b/src/main/java/mintstair/routing/RequestRouter.java
@@ -136,6 +136,8 @@
                 module.onHangUp(at, e.request());
                 forget(e.request(), t);
             }
+        } else if (news instanceof News.Proxies e) {
+            module.onFleet(at, new SplitterApi.Fleet(e.largest(), e.counted(), e.settled()));
         } else if (news instanceof News.Listed e) {
             List<HostEntry> rows = new ArrayList<>();
             for (HostList.Entry h : e.list().entries()) {
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -81,6 +81,7 @@
     private LogRecorder log;
     private StoreKeeper keeper;
     private RegistryKeeper registry;
+    private MembershipKeeper membership;
     /** Settings come from the file's thread and from the registry's. */
     private NodeConfig current;
 
@@ -145,6 +146,12 @@
             registry = new RegistryKeeper(operator.registry(), config.seed(), loop::execute, this::registered, this::takeSettings);
             registry.start();
         }
+        if (operator.membership() != null) {
+            membership = new MembershipKeeper(operator.membership(), config.name(), config.env().proxies, config.seed(), loop::execute,
+                proxies -> services.forEach(service -> service.proxies(proxies)));
+            calls.members(membership::lines);
+            membership.start();
+        }
         loop.execute(this::publish);
         loop.at(loop.now() + HEAP_EVERY, this::tellHeap);
         loop.at(loop.now() + OVERLAP, () -> services.forEach(service -> service.front.mostClients(share.clients())));
@@ -186,6 +193,9 @@
         if (registry != null) {
             registry.addTo(sum);
         }
+        if (membership != null) {
+            membership.addTo(sum);
+        }
         if (log != null) {
             log.addTo(sum);
         }
@@ -302,6 +312,9 @@
     /** On SIGTERM: what arrives for a while is served, what is held is finished, then the program ends well. */
     private void finish() {
         calls.takesClients(false);
+        if (membership != null) {
+            membership.close();
+        }
         CountDownLatch done = new CountDownLatch(1);
         long told = loop.now();
         long killed = told + Math.min(LONGEST_DEADLINE, longestDeadline) + UNANSWERED;
--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -12,6 +12,7 @@
 import mintstair.proxy.Dispatcher;
 import mintstair.proxy.Loop;
 import mintstair.request.HostList;
+import mintstair.routing.News;
 import mintstair.routing.RequestRouter;
 import mintstair.stats.Counters;
 import mintstair.stats.Figures;
@@ -94,6 +95,11 @@
         dispatcher.listed(list, false);
     }
 
+    /** How many proxies there are, as far as this one knows; on the loop. */
+    void proxies(News.Proxies proxies) {
+        dispatcher.proxies(proxies);
+    }
+
     /** Makes the front of a service. */
     interface FrontMaker {
         Front make(Dispatcher dispatcher, Counters counters);
--- /dev/null
+++ b/src/test/java/mintstair/decision/FleetShareTest.java
@@ -0,0 +1,176 @@
+package mintstair.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import mintstair.decision.SplitterApi.Fleet;
+import mintstair.decision.SplitterApi.HostState;
+import mintstair.decision.SplitterApi.Role;
+import mintstair.membership.FleetPlay;
+import mintstair.membership.swim.FleetStanding.Standing;
+import org.junit.jupiter.api.Test;
+
+/** What routers that know of each other take of the bounds that they share, while the fleet breaks and heals. */
+class FleetShareTest {
+    private static final long S = 1_000_000;
+    private static final int ROUTERS = 100;
+    private final Bed[] beds = new Bed[ROUTERS];
+    private FleetPlay play;
+    private double most;
+
+    private void fleet(int running, long seed) {
+        play = new FleetPlay(ROUTERS, ROUTERS, 0.02, seed);
+        play.nodes.subList(0, running).forEach(play::start);
+        for (int i = 0; i < ROUTERS; i++) {
+            beds[i] = new Bed();
+            beds[i].routers = ROUTERS;
+            beds[i].start().group();
+        }
+    }
+
+    /** The parts of all that run and do not stand still, of one. */
+    private double sum() {
+        double sum = 0;
+        for (FleetPlay.Node node : play.running()) {
+            Standing s = node.swim.standing();
+            ReadWriteSplitter router = (ReadWriteSplitter) beds[node.number].router;
+            router.onFleet(play.now, new Fleet(s.largest(), s.counted(), s.settled()));
+            sum += node.isStill() ? 0 : 1 / router.routers();
+        }
+        return sum;
+    }
+
+    /** Lets time pass; at no moment may all parts together be more than the whole. */
+    private void pass(long time) {
+        for (long end = play.now + time; play.now < end; play.pass(200_000)) {
+            most = Math.max(most, sum());
+            assertTrue(most <= 1 + 1e-9, "parts add up to " + most + " at " + play.now / 1e6);
+        }
+    }
+
+    @Test
+    void allThatRunShareTheWholeOnceTheyAreSettled() {
+        fleet(ROUTERS, 1);
+        pass(60 * S);
+        assertEquals(1, sum(), 1e-9);
+    }
+
+    /** Told of 100 where 60 run: alone they would leave two fifths of every bound idle. */
+    @Test
+    void fleetThatIsSmallerThanToldUsesMoreThanEachAloneWould() {
+        fleet(60, 2);
+        pass(60 * S);
+        assertEquals(0.8, sum(), 1e-9);
+    }
+
+    /** 1 / alive on both sides of the cut would add up to 2 here. */
+    @Test
+    void sidesOfACutTogetherKeepTheBound() {
+        fleet(ROUTERS, 3);
+        pass(60 * S);
+        play.network = FleetPlay.cut(0.02, 40);
+        pass(150 * S);
+        assertEquals(1, sum(), 1e-9);
+        play.network = FleetPlay.losing(0.02);
+        pass(60 * S);
+        assertEquals(1, sum(), 1e-9);
+    }
+
+    /** Seventy of a hundred die at once: the rest can't tell it from a cut, and are whole again when others have started. */
+    @Test
+    void seventyOfAHundredThatAreKilledLeaveTheBoundKept() {
+        fleet(ROUTERS, 4);
+        pass(60 * S);
+        play.nodes.subList(30, 100).forEach(play::kill);
+        pass(20 * S);
+        assertEquals(0.15, sum(), 1e-9);
+        play.nodes.subList(30, 100).forEach(play::start);
+        pass(60 * S);
+        assertEquals(1, sum(), 1e-9);
+    }
+
+    /** Thirty that end in order are counted out at once; thirty machines that are lost once they must have noticed. */
+    @Test
+    void fleetThatShrinksTakesUpWhatIsLeft() {
+        fleet(ROUTERS, 5);
+        pass(60 * S);
+        play.nodes.subList(0, 30).forEach(n -> {
+            n.swim.leave();
+            play.kill(n);
+        });
+        pass(30 * S);
+        assertEquals(0.5 * 0.7 + 0.5, sum(), 1e-9);
+        play.nodes.subList(30, 60).forEach(play::lose);
+        pass(150 * S);
+        assertEquals(0.5 * 0.4 + 0.5, sum(), 1e-9);
+    }
+
+    /** Cuts, losses, stalls and restarts in a row. */
+    @Test
+    void randomFaultsNeverBreakTheBound() {
+        for (int seed = 10; seed < 13; seed++) {
+            fleet(ROUTERS, seed);
+            Random chance = new Random(seed);
+            pass(30 * S);
+            for (int i = 0; i < 12; i++) {
+                int some = 1 + chance.nextInt(40);
+                switch (chance.nextInt(5)) {
+                    case 0 -> play.network = FleetPlay.cut(0.05, 1 + chance.nextInt(99));
+                    case 1 -> play.network = FleetPlay.losing(0.1);
+                    case 2 -> play.nodes.subList(some, some + 30).forEach(play::kill);
+                    case 3 -> play.nodes.subList(some, some + 30).forEach(n -> play.stall(n, play.now + chance.nextInt(60) * S));
+                    default -> play.nodes.stream().filter(n -> !n.runs).toList().forEach(play::start);
+                }
+                pass(chance.nextInt(60) * S);
+            }
+        }
+    }
+
+    /** Polls a second at one host of a group without a primary, from all that run, after the first have backed off. */
+    private static double polls(List<Bed> running) {
+        long polls = 0;
+        for (Bed bed : running) {
+            bed.state("p", HostState.DRAINING);
+            for (int i = 0; i < 2400; i++) {
+                for (; bed.answered < bed.probes.size(); bed.answered++) {
+                    bed.poll(bed.probes.get(bed.answered), bed.now - 5 * S, Role.REPLICA);
+                }
+                if (i % 20 == 0) {
+                    bed.request(i, Bed.UNSAFE_WRITE, 1_200_000, SplitterApi.UNKNOWN);
+                }
+                bed.pass(20_000);
+                polls += i < 1200 ? 0 : bed.probes.subList(bed.answered, bed.probes.size()).stream().filter("r1"::equals).count();
+            }
+        }
+        return polls / 24.0;
+    }
+
+    private static List<Bed> beds(int settled, int others, int counted) {
+        List<Bed> beds = new ArrayList<>();
+        for (int i = 0; i < settled + others; i++) {
+            Bed bed = new Bed();
+            bed.routers = ROUTERS;
+            bed.seed = i;
+            bed.oneSession = false;
+            bed.start().group();
+            if (counted > 0) {
+                bed.router.onFleet(bed.now, new Fleet(ROUTERS, counted, i < settled));
+            }
+            beds.add(bed);
+        }
+        return beds;
+    }
+
+    /** A host's polls by those that look for a primary: within the bound in a cut fleet, and more of it used in a small one. */
+    @Test
+    void pollsAtAHostFollowTheShares() {
+        double cut = polls(beds(60, 40, 60));
+        assertTrue(cut <= 11, "cut 60 and 40: " + cut + " polls a second");
+        double small = polls(beds(60, 0, 60));
+        double alone = polls(beds(60, 0, 0));
+        assertTrue(small <= 11 && small > 1.15 * alone, "60 of 100: " + small + " polls a second, each alone " + alone);
+    }
+}
--- a/src/test/java/mintstair/decision/FleetTest.java
+++ b/src/test/java/mintstair/decision/FleetTest.java
@@ -151,6 +151,26 @@
         assertEquals(200, sentTo(fleet, "p"), "reads sent to the primary");
     }
 
+    /**
+     * Guards against loading the primary with reads that a poll, shared by many of them, brings to replicas: at a router that hears a
+     * group often, with a primary that has room.
+     */
+    @Test
+    void readsOfARouterThatHearsManyArePolledForBeforeThePrimary() {
+        Bed bed = new Bed();
+        bed.oneSession = false;
+        bed.start().group();
+        for (int i = 0; i < 400; i++) {
+            bed.pass(110 * MS);
+            bed.request(i, Bed.BOUNDED);
+            bed.answerPolls(30 * MS);
+            bed.pass(5 * MS);
+            if (!bed.sendsOf(i).isEmpty()) bed.outcome(bed.last(), 0, Ending.OK);
+        }
+        long primary = bed.sends.stream().filter(s -> s.id() >= 100 && s.host().equals("p")).count();
+        assertTrue(primary < 60, "the primary got " + primary + " of 300 reads");
+    }
+
     /** Replicas behind: the many reads that fall back must not drown the primary, by all routers together. */
     @Test
     void readsThatFallBackInMassReachThePrimaryOnlyInPart() {
--- /dev/null
+++ b/src/test/java/mintstair/program/MembershipProgramTest.java
@@ -0,0 +1,178 @@
+package mintstair.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import mintstair.control.MembersCommand;
+import mintstair.standin.FaultRelay;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Several processes of the program that know each other, with faults on the links between them. */
+class MembershipProgramTest {
+    /** Of the usual period; the design's times follow. */
+    private static final double PERIOD_S = 0.4;
+    private final List<Program> programs = new ArrayList<>();
+    private FaultRelay relay;
+
+    private void start(int proxies) throws IOException {
+        relay = new FaultRelay(proxies);
+        for (int i = 0; i < proxies; i++) {
+            programs.add(member(i, proxies));
+        }
+        for (Program program : programs) {
+            program.awaitFigure("members_alive=" + proxies);
+        }
+    }
+
+    private Program member(int i, int proxies) throws IOException {
+        String seeds = IntStream.range(0, 3).mapToObj(s -> '"' + relay.advertise(s) + '"').collect(Collectors.joining(","));
+        return Program.member("m" + i, proxies, 1, "{\"membership\":{\"fleet\":\"test\",\"listen\":\"" + relay.listen(i)
+            + "\",\"advertise\":\"" + relay.advertise(i) + "\",\"seeds\":[" + seeds + "],\"period_s\":" + PERIOD_S + "}}");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        programs.forEach(Program::close);
+        relay.close();
+    }
+
+    private static void signal(Program program, String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signal, Long.toString(program.process.pid())).start().waitFor();
+    }
+
+    private static long figure(Program program, String name) throws IOException {
+        for (String line : program.call("telemetry\n").split("\n")) {
+            if (line.startsWith("svc." + name + "=")) {
+                return Long.parseLong(line.substring(line.indexOf('=') + 1));
+            }
+        }
+        throw new AssertionError("no figure " + name);
+    }
+
+    /** Everyone but these sees this many alive, and nobody in doubt. */
+    private void awaitAlive(List<Program> among, int alive) {
+        for (Program program : among) {
+            program.awaitFigure("members_alive=" + alive);
+            program.awaitFigure("members_suspect=0");
+        }
+    }
+
+    /** A process that is gone is told from one that is silent: all know it far sooner than silence is believed. */
+    @Test
+    void processThatIsKilledIsKnownToAllSoonAndItsSuccessorIsTakenIn() throws Exception {
+        start(5);
+        Program victim = programs.get(3);
+        victim.close();
+        long killed = System.nanoTime();
+        List<Program> others = programs.stream().filter(p -> p != victim).toList();
+        for (Program program : others) {
+            program.awaitFigure("members_dead=1");
+        }
+        long seconds = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - killed);
+        // The shortest suspicion of a silent member is 8 s; the design's bound for one that is gone is 3 s, on a machine with time.
+        assertTrue(seconds < 8, "known to all after " + seconds + " s");
+        programs.set(3, member(3, 5));
+        awaitAlive(programs, 5);
+        for (Program program : others) {
+            program.awaitFigure("members_dead=0");
+            assertEquals(0, figure(program, "member_false_deaths"), "a successor is no mistake");
+        }
+    }
+
+    /** Told at its end, a member is neither suspected nor taken for cut off; the command shows it. */
+    @Test
+    void processThatEndsInOrderHasLeft() throws Exception {
+        start(5);
+        programs.get(4).terminate();
+        for (Program program : programs.subList(0, 4)) {
+            program.awaitFigure("members_left=1");
+            program.awaitFigure("members_counted=4");
+            assertEquals(0, figure(program, "members_dead"));
+        }
+        ByteArrayOutputStream shown = new ByteArrayOutputStream();
+        int status = MembersCommand.run(new InetSocketAddress("127.0.0.1", programs.get(0).control()), new PrintStream(shown));
+        assertEquals(0, status);
+        List<String> lines = shown.toString().lines().toList();
+        assertEquals(6, lines.size(), shown.toString());
+        assertTrue(lines.get(0).startsWith("member m0 alive ") && lines.get(0).endsWith(" self"), lines.get(0));
+        assertTrue(lines.stream().anyMatch(l -> l.startsWith("member m4 left ")), shown.toString());
+        assertTrue(lines.get(5).startsWith("view version=") && lines.get(5).contains(" counted=4 largest=5"), lines.get(5));
+    }
+
+    /** Silence of 5 s is shorter than any suspicion: it is suspected, refutes, and is settled again; nobody is told dead. */
+    @Test
+    void processThatStandsStillIsSuspectedAndRefutes() throws Exception {
+        start(5);
+        Program still = programs.get(2);
+        still.awaitFigure("members_settled=1");
+        List<Program> others = programs.stream().filter(p -> p != still).toList();
+        signal(still, "STOP");
+        long stopped = System.nanoTime();
+        for (Program program : others) {
+            program.awaitFigure("members_suspect=1");
+        }
+        Program.await(() -> System.nanoTime() - stopped > TimeUnit.SECONDS.toNanos(5), "5 s to pass");
+        signal(still, "CONT");
+        still.awaitFigure("member_stalls=1");
+        awaitAlive(programs, 5);
+        for (Program program : programs) {
+            assertEquals(0, figure(program, "member_deaths"));
+        }
+        assertTrue(figure(still, "member_refutations") >= 1, "it refuted");
+        still.awaitFigure("members_settled=1");
+    }
+
+    /** Three of seven behind a cut: neither side thinks that it is the fleet, only the larger has a quorum; healed they agree again. */
+    @Test
+    void sidesOfACutAgreeAgainAfterIt() throws Exception {
+        start(7);
+        relay.partition(3, FaultRelay.Link.CUT);
+        List<Program> few = programs.subList(0, 3);
+        List<Program> many = programs.subList(3, 7);
+        for (Program program : few) {
+            program.awaitFigure("members_quorum=0");
+            program.awaitFigure("members_dead=4");
+        }
+        for (Program program : many) {
+            program.awaitFigure("members_dead=3");
+            assertEquals(1, figure(program, "members_quorum"));
+            // They may run on the far side: they still count.
+            assertEquals(7, figure(program, "members_counted"));
+        }
+        relay.partition(3, FaultRelay.Link.GOOD);
+        long healed = System.nanoTime();
+        awaitAlive(programs, 7);
+        long seconds = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - healed);
+        assertTrue(seconds < 15, "agreed after " + seconds + " s");
+    }
+
+    /** Links that fail in one direction, or are slow, are gone round: nobody is declared dead. */
+    @Test
+    void linksThatFailOneWayOrAreSlowKillNobody() throws Exception {
+        start(5);
+        relay.link(0, 1, FaultRelay.Link.CUT);
+        relay.link(2, 3, FaultRelay.Link.CUT);
+        relay.between(1, 4, new FaultRelay.Link(false, 300));
+        relay.between(0, 4, new FaultRelay.Link(false, 300));
+        long begun = System.nanoTime();
+        long before = figure(programs.get(0), "member_messages_sent");
+        Program.await(() -> System.nanoTime() - begun > TimeUnit.SECONDS.toNanos(12), "12 s to pass, longer than a suspicion");
+        assertTrue(figure(programs.get(0), "member_messages_sent") > before + 20, "they go on");
+        relay.between(0, 1, FaultRelay.Link.GOOD);
+        relay.link(2, 3, FaultRelay.Link.GOOD);
+        awaitAlive(programs, 5);
+        for (Program program : programs) {
+            assertEquals(0, figure(program, "member_deaths"));
+        }
+    }
+}
--- a/src/test/java/mintstair/program/Program.java
+++ b/src/test/java/mintstair/program/Program.java
@@ -60,6 +60,17 @@
         return program;
     }
 
+    /** A proxy of this name among so many, which knows its fleet as the operator's file says. */
+    public static Program member(String name, int proxies, int discovery, String operator) throws IOException {
+        Path folder = Files.createTempDirectory("mintstair");
+        Path config = folder.resolve("config.json");
+        Path file = folder.resolve("operator.json");
+        Files.writeString(config, config(discovery, "", false).replace("\"name\":\"n1\"", "\"name\":\"" + name + "\"")
+            .replace("\"balancers\":1", "\"balancers\":" + proxies));
+        Files.writeString(file, operator);
+        return new Program("serve", "--operator", file.toString(), config.toString());
+    }
+
     static String config(int discovery, String known, boolean probing) {
         return config(0, discovery, known, probing);
     }
