--- a/src/main/java/mintstair/decision/SplitterApi.java
+++ b/src/main/java/mintstair/decision/SplitterApi.java
@@ -53,8 +53,9 @@
             boolean secondCopies, boolean retryAfter, long maxRetryAfter) { }
 
     /**
-     * How many routers there are, as far as this one knows: the largest number seen or told, those that may run
-     * and know of each other, and whether this one is {@code settled}: only if all that are so count each other.
+     * How many routers there are, as far as this one knows: the largest number seen or told, those that may
+     * run and know of each other, and whether this one is {@code settled}: only if all that are so count each
+     * other.
      */
     public record Fleet(int largest, int counted, boolean settled) { }
 
