Tell what members count as it happens, not with the next change of the view

Seen: a new test of two members on loopback waited in vain for a count of messages to rise: figures such as svc.member_messages_sent stood still while nothing in the fleet changed. At fault: View carried the counts, and FleetMember made a new view only when it changed. Now counts are told apart from the view, each turn. Ruled out: the members themselves, which went on.

--- a/src/main/java/mintstair/membership/FleetMember.java
+++ b/src/main/java/mintstair/membership/FleetMember.java
@@ -49,6 +49,7 @@
     private final long startedWall;
     private final long startedNanos = System.nanoTime();
     private volatile View view;
+    private volatile View.Tally tally;
     private volatile boolean ends;
     private volatile long garbled;
     private volatile long unsent;
@@ -79,6 +80,7 @@
         SwimSettings settings = SwimSettings.usual(size).withPeriod(config.period());
         swim = new Swim(now(), seed, name, address, config.seeds(), settings, new Out());
         view = swim.view();
+        tally = swim.tally();
         thread = new Thread(this::run, "membership");
         thread.setDaemon(true);
     }
@@ -104,6 +106,11 @@
         return view;
     }
 
+    /** What has happened up to now, from any thread. */
+    public View.Tally tally() {
+        return tally;
+    }
+
     /** What came that was no message of this fleet, and what this member's machine did not send. */
     public long garbled() {
         return garbled;
@@ -159,6 +166,7 @@
         }
         selector.selectedKeys().clear();
         checks.expire(now());
+        tally = swim.tally();
         if (version != swim.version() || !standing.equals(swim.standing())) {
             view = swim.view();
             told.accept(view);
--- a/src/main/java/mintstair/membership/swim/Swim.java
+++ b/src/main/java/mintstair/membership/swim/Swim.java
@@ -401,7 +401,11 @@
     }
 
     public View view() {
-        return new View(version(), self, members.seen(), standing(), new View.Tally(sent, heard, raised, members.refuted,
-            members.falseDeaths, members.deaths, members.untilDeaths, refutations, stalls, turnedAway + members.turnedAway, namesakes));
+        return new View(version(), self, members.seen(), standing());
+    }
+
+    public View.Tally tally() {
+        return new View.Tally(sent, heard, raised, members.refuted, members.falseDeaths, members.deaths, members.untilDeaths, refutations,
+            stalls, turnedAway + members.turnedAway, namesakes);
     }
 }
--- a/src/main/java/mintstair/membership/swim/View.java
+++ b/src/main/java/mintstair/membership/swim/View.java
@@ -10,7 +10,7 @@
  * @param members the others, by name
  * @param standing what follows from it
  */
-public record View(long version, Rumour self, List<Seen> members, FleetStanding.Standing standing, Tally tally) {
+public record View(long version, Rumour self, List<Seen> members, FleetStanding.Standing standing) {
     /** @param since when its state became what it is; {@code dropped}: a dead one that no longer counts as one that may run */
     public record Seen(Rumour known, long since, boolean dropped) { }
 
--- a/src/main/java/mintstair/serve/MembershipKeeper.java
+++ b/src/main/java/mintstair/serve/MembershipKeeper.java
@@ -52,7 +52,7 @@
         states[MemberState.ALIVE.ordinal()]++;
         Arrays.stream(MemberState.values()).forEach(state ->
             sum.add("members_" + state.name().toLowerCase(Locale.ROOT), states[state.ordinal()]));
-        View.Tally t = view.tally();
+        View.Tally t = member.tally();
         sum.add("members_counted", view.standing().counted()).add("members_settled", view.standing().settled() ? 1 : 0)
             .add("members_quorum", view.standing().quorum() ? 1 : 0)
             .add("member_suspicions_raised", t.raised()).add("member_suspicions_refuted", t.refuted())
--- a/src/test/java/mintstair/bench/MembershipBench.java
+++ b/src/test/java/mintstair/bench/MembershipBench.java
@@ -19,7 +19,7 @@
 
     private MembershipBench() { }
 
-    public static void main(String[] args) {
+    public static void main(String[] args) throws Exception {
         boolean full = Arrays.asList(args).contains("--full");
         int[] sizes = full ? new int[] {50, 200, 500, 1000} : new int[] {50, 200};
         double[] loads = new double[sizes.length];
@@ -50,6 +50,10 @@
         double[] stallsPlain = stalls(plain(50), full ? 20 : 4);
         figure("false_deaths_stalls_12s", stalls[0]);
         figure("false_deaths_stalls_12s_plain_swim", stallsPlain[0]);
+        List<Double> killed = KilledProcesses.measure(9, full ? 40 : 6);
+        figure("real_9_killed_known_to_all_s_p50", killed.get(killed.size() / 2));
+        figure("real_9_killed_known_to_all_s_max", killed.get(killed.size() - 1));
+        aim("real_9_killed_known_to_all_s_max", killed.get(killed.size() - 1) < 3);
         double healed = heal(full ? 200 : 50);
         figure("healed_after_cut_s", healed);
         aim("healed_after_cut_s", healed >= 0 && healed < 20);
--- a/src/test/java/mintstair/decision/FleetShareTest.java
+++ b/src/test/java/mintstair/decision/FleetShareTest.java
@@ -129,6 +129,50 @@
         }
     }
 
+    /** Writes that reach a new primary in the 16 s after it came up, when it had been looked for in vain for 24 s. */
+    private static long served(List<Bed> running) {
+        for (Bed bed : running) {
+            bed.state("p", HostState.DRAINING);
+            for (int i = 0; i < 2000; i++) {
+                for (; bed.answered < bed.probes.size(); bed.answered++) {
+                    boolean up = i >= 1200 && bed.probes.get(bed.answered).equals("r1");
+                    bed.poll(bed.probes.get(bed.answered), up ? bed.now : bed.now - 5 * S, up ? Role.PRIMARY : Role.REPLICA);
+                }
+                if (i % 20 == 0) {
+                    bed.request(i, Bed.UNSAFE_WRITE, 1_200_000, SplitterApi.UNKNOWN);
+                }
+                for (Bed.Sent sent : List.copyOf(bed.sendsOf(i - i % 20))) {
+                    bed.outcome(sent, 0, SplitterApi.Ending.OK);
+                }
+                bed.pass(20_000);
+            }
+        }
+        return running.stream().mapToLong(b -> b.sends.size()).sum();
+    }
+
+    /** The part of the polls that lies idle otherwise finds the primary sooner. */
+    @Test
+    void smallFleetServesMoreThanEachAloneWould() {
+        long small = served(beds(60, 0, 60));
+        long alone = served(beds(60, 0, 0));
+        assertTrue(small > 1.05 * alone, small + " writes served, each alone " + alone);
+    }
+
+    /** A cold host's part goes by the requests of each router, so no view of the fleet changes it. */
+    @Test
+    void coldHostGetsItsPartWhateverTheViews() {
+        for (List<Bed> fleet : List.of(beds(100, 0, 100), beds(60, 40, 60), beds(0, 100, 100), beds(30, 0, 30))) {
+            long cold = 0;
+            for (Bed bed : fleet) {
+                bed.list(SplitterApi.ListKind.CHANGES, new SplitterApi.HostEntry("r1", false, "z", 0, HostState.READY, 1, bed.now));
+                bed.request(1, Bed.ANY);
+                cold += bed.sendsOf(1).stream().filter(s -> s.host().equals("r1")).count();
+            }
+            // One in three at random would be 0.33 of them; cold, it may have a fifth of that at first.
+            assertTrue(cold < 0.17 * fleet.size(), cold + " of " + fleet.size());
+        }
+    }
+
     /** Polls a second at one host of a group without a primary, from all that run, after the first have backed off. */
     private static double polls(List<Bed> running) {
         long polls = 0;
--- a/src/test/java/mintstair/membership/SwimTest.java
+++ b/src/test/java/mintstair/membership/SwimTest.java
@@ -67,7 +67,7 @@
         play.pass(100 * S);
         assertTrue(play.falseSuspicions > 0, "some were suspected, or this test shows nothing");
         assertEquals(0, play.falseDeaths);
-        assertEquals(0, play.nodes.stream().mapToLong(n -> n.view().tally().falseDeaths()).sum());
+        assertEquals(0, play.nodes.stream().mapToLong(n -> n.swim.tally().falseDeaths()).sum());
     }
 
     @Test
@@ -90,7 +90,7 @@
         assertTrue(play.untilAgreed(5 * S) >= 0);
         assertFalse(play.nodes.get(4).swim.standing().settled(), "what it knows may be old");
         assertEquals(0, play.falseDeaths);
-        assertEquals(1, play.nodes.get(4).view().tally().stalls());
+        assertEquals(1, play.nodes.get(4).swim.tally().stalls());
         play.pass(20 * S);
         assertTrue(play.nodes.get(4).swim.standing().settled());
     }
@@ -104,7 +104,7 @@
         assertEquals(8, play.deaths.get(4).size());
         assertTrue(play.untilAgreed(15 * S) >= 0);
         assertFalse(play.nodes.get(4).swim.standing().settled());
-        assertEquals(8, play.nodes.stream().filter(n -> n.number != 4 && n.view().tally().falseDeaths() == 1).count());
+        assertEquals(8, play.nodes.stream().filter(n -> n.number != 4 && n.swim.tally().falseDeaths() == 1).count());
     }
 
     @Test
@@ -184,7 +184,7 @@
         play.start(play.nodes.get(5), "p3");
         play.pass(30 * S);
         assertFalse(play.nodes.get(3).swim.standing().settled());
-        assertTrue(play.nodes.get(3).view().tally().namesakes() > 0);
+        assertTrue(play.nodes.get(3).swim.tally().namesakes() > 0);
         assertTrue(play.nodes.get(5).swim.standing().settled());
         assertTrue(play.nodes.get(0).view().version() < 100, "no quarrel without end");
     }
--- a/src/test/java/mintstair/program/MembershipProgramTest.java
+++ b/src/test/java/mintstair/program/MembershipProgramTest.java
@@ -10,8 +10,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 import mintstair.control.MembersCommand;
 import mintstair.standin.FaultRelay;
 import org.junit.jupiter.api.AfterEach;
@@ -19,27 +17,19 @@
 
 /** Several processes of the program that know each other, with faults on the links between them. */
 class MembershipProgramTest {
-    /** Of the usual period; the design's times follow. */
-    private static final double PERIOD_S = 0.4;
     private final List<Program> programs = new ArrayList<>();
     private FaultRelay relay;
 
     private void start(int proxies) throws IOException {
         relay = new FaultRelay(proxies);
         for (int i = 0; i < proxies; i++) {
-            programs.add(member(i, proxies));
+            programs.add(Program.member(relay, i, proxies));
         }
         for (Program program : programs) {
             program.awaitFigure("members_alive=" + proxies);
         }
     }
 
-    private Program member(int i, int proxies) throws IOException {
-        String seeds = IntStream.range(0, 3).mapToObj(s -> '"' + relay.advertise(s) + '"').collect(Collectors.joining(","));
-        return Program.member("m" + i, proxies, 1, "{\"membership\":{\"fleet\":\"test\",\"listen\":\"" + relay.listen(i)
-            + "\",\"advertise\":\"" + relay.advertise(i) + "\",\"seeds\":[" + seeds + "],\"period_s\":" + PERIOD_S + "}}");
-    }
-
     @AfterEach
     void stop() throws Exception {
         programs.forEach(Program::close);
@@ -81,7 +71,7 @@
         long seconds = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - killed);
         // The shortest suspicion of a silent member is 8 s; the design's bound for one that is gone is 3 s, on a machine with time.
         assertTrue(seconds < 8, "known to all after " + seconds + " s");
-        programs.set(3, member(3, 5));
+        programs.set(3, Program.member(relay, 3, 5));
         awaitAlive(programs, 5);
         for (Program program : others) {
             program.awaitFigure("members_dead=0");
--- a/src/test/java/mintstair/program/Program.java
+++ b/src/test/java/mintstair/program/Program.java
@@ -11,6 +11,9 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import mintstair.standin.FaultRelay;
 import mintstair.standin.StandInHost;
 
 /** The program as a process of its own, and what it printed. */
@@ -60,14 +63,16 @@
         return program;
     }
 
-    /** A proxy of this name among so many, which knows its fleet as the operator's file says. */
-    public static Program member(String name, int proxies, int discovery, String operator) throws IOException {
+    /** The i-th of so many proxies that know each other through a relay; its name is m and its number. */
+    public static Program member(FaultRelay relay, int i, int proxies) throws IOException {
+        String seeds = IntStream.range(0, 3).mapToObj(seed -> '"' + relay.advertise(seed) + '"').collect(Collectors.joining(","));
         Path folder = Files.createTempDirectory("mintstair");
         Path config = folder.resolve("config.json");
         Path file = folder.resolve("operator.json");
-        Files.writeString(config, config(discovery, "", false).replace("\"name\":\"n1\"", "\"name\":\"" + name + "\"")
+        Files.writeString(config, config(1, "", false).replace("\"name\":\"n1\"", "\"name\":\"m" + i + "\"")
             .replace("\"balancers\":1", "\"balancers\":" + proxies));
-        Files.writeString(file, operator);
+        Files.writeString(file, "{\"membership\":{\"fleet\":\"test\",\"listen\":\"" + relay.listen(i) + "\",\"advertise\":\""
+            + relay.advertise(i) + "\",\"seeds\":[" + seeds + "]}}");
         return new Program("serve", "--operator", file.toString(), config.toString());
     }
 
