Try other ports where one that is free for datagrams is taken for connections

Seen: mvn -B verify failed once in FleetMemberTest.whoEndsHasLeft with "Address already in use". At fault: FleetMember's constructor, which let the system choose a port for datagrams and took it for granted for connections; its error did not name the place either. Ruled out: a listener of the same test, each member asks for a port of its own. Now with port 0 up to 20 ports are tried, and the error names the address. Test: one in seven ports taken for connections, forty members; fails with a single try.

--- a/src/main/java/mintstair/membership/FleetMember.java
+++ b/src/main/java/mintstair/membership/FleetMember.java
@@ -30,6 +30,7 @@
 public final class FleetMember implements AutoCloseable {
     /** What is handled before time is looked at again: a flood must not keep this member from its own probes. */
     private static final int DATAGRAMS_A_TURN = 64;
+    private static final int PORTS_TRIED = 20;
     private static final long LEAVE_MILLIS = 300;
     /** Addresses are looked up once each; one that changes its meaning is not followed. */
     private static final int MOST_ADDRESSES = 8_192;
@@ -69,12 +70,12 @@
         this.told = told;
         this.log = log;
         selector = Selector.open();
-        datagrams = bound(config.listen());
+        Bound bound = bind(config.listen(), name);
+        datagrams = bound.datagrams;
+        checks = bound.checks;
         datagrams.configureBlocking(false);
         datagrams.register(selector, SelectionKey.OP_READ);
-        InetSocketAddress bound = (InetSocketAddress) datagrams.getLocalAddress();
-        checks = new Checks(selector, name, bound, this::checked);
-        address = config.advertise() == null ? config.listen().getHostString() + ":" + bound.getPort() : config.advertise();
+        address = config.advertise() == null ? config.listen().getHostString() + ":" + bound.port : config.advertise();
         Instant now = Instant.now();
         startedWall = now.getEpochSecond() * 1_000_000 + now.getNano() / 1000;
         SwimSettings settings = SwimSettings.usual(size).withPeriod(config.period());
@@ -85,13 +86,26 @@
         thread.setDaemon(true);
     }
 
-    private static DatagramChannel bound(InetSocketAddress listen) throws IOException {
-        DatagramChannel channel = DatagramChannel.open(StandardProtocolFamily.INET);
-        try {
-            return channel.bind(listen);
-        } catch (IOException e) {
-            channel.close();
-            throw new IOException("membership: " + listen.getHostString() + ":" + listen.getPort() + ": " + e.getMessage(), e);
+    /** Both sockets at their one port. */
+    private record Bound(DatagramChannel datagrams, Checks checks, int port) { }
+
+    /** A port that is free for datagrams may be taken for connections: where any port will do, others are tried. */
+    private Bound bind(InetSocketAddress listen, String name) throws IOException {
+        for (int i = 1;; i++) {
+            DatagramChannel channel = DatagramChannel.open(StandardProtocolFamily.INET);
+            int port = listen.getPort();
+            try {
+                channel.bind(listen);
+                port = ((InetSocketAddress) channel.getLocalAddress()).getPort();
+                InetSocketAddress both = new InetSocketAddress(listen.getAddress(), port);
+                return new Bound(channel, new Checks(selector, name, both, this::checked), port);
+            } catch (IOException e) {
+                channel.close();
+                if (listen.getPort() != 0 || i == PORTS_TRIED) {
+                    selector.close();
+                    throw new IOException("membership: " + listen.getHostString() + ":" + port + ": " + e.getMessage(), e);
+                }
+            }
         }
     }
 
--- a/src/test/java/mintstair/membership/FleetMemberTest.java
+++ b/src/test/java/mintstair/membership/FleetMemberTest.java
@@ -9,6 +9,7 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -94,6 +95,29 @@
         assertTrue(told.get() >= 2 && told.get() < 12, "told " + told.get() + " times");
     }
 
+    /** A port that is free for datagrams may be taken for connections: any port will do, so another is tried. */
+    @Test
+    void aPortThatIsTakenForConnectionsIsNotUsed() throws IOException {
+        List<ServerSocket> taken = new ArrayList<>();
+        try {
+            // One in seven of the ports that the system gives out: of forty members some meet one at first.
+            for (int port = 32_768; port < 60_768; port += 7) {
+                try {
+                    taken.add(new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1")));
+                } catch (IOException e) {
+                    // Somebody has it already.
+                }
+            }
+            for (int i = 0; i < 40; i++) {
+                member("one", "a" + i, List.of());
+            }
+        } finally {
+            for (ServerSocket socket : taken) {
+                socket.close();
+            }
+        }
+    }
+
     @Test
     void whatCannotBeUsedIsRefused() throws IOException {
         assertThrows(ConfigException.class, () -> member("one", "n".repeat(49), List.of()));
