Take in members' names and addresses of printable ASCII only

Seen on reading the change anew: MessageCodec took any bytes as a name, so that a datagram with a line's end in one forges lines of the log and of the members command; and Gossip counts characters where a page is bounded in bytes, so that names beyond ASCII overflow a datagram. At fault: MessageCodec.text, and the checks of FleetMember and MembershipConfig, which bounded the length alone. Now all three refuse other bytes; a datagram with them counts as garbled. The test fails without the check.

--- a/src/main/java/mintstair/config/MembershipConfig.java
+++ b/src/main/java/mintstair/config/MembershipConfig.java
@@ -47,8 +47,8 @@
 
     private static String address(String text) {
         NodeConfig.address(text);
-        if (text.length() > LONGEST_ADDRESS) {
-            throw new ConfigException("membership: an address has " + LONGEST_ADDRESS + " characters at most");
+        if (!text.matches("[!-~]{1," + LONGEST_ADDRESS + "}")) {
+            throw new ConfigException("membership: an address has at most " + LONGEST_ADDRESS + " printable ASCII characters");
         }
         return text;
     }
--- a/src/main/java/mintstair/membership/FleetMember.java
+++ b/src/main/java/mintstair/membership/FleetMember.java
@@ -7,7 +7,6 @@
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
-import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Locale;
@@ -63,8 +62,8 @@
      */
     public FleetMember(MembershipConfig config, String name, int size, long seed, Consumer<View> told, Consumer<String> log)
             throws IOException {
-        if (name.isEmpty() || name.getBytes(StandardCharsets.UTF_8).length > MessageCodec.NAME) {
-            throw new ConfigException("membership: name must have 1 to " + MessageCodec.NAME + " bytes");
+        if (!name.matches("[!-~]{1," + MessageCodec.NAME + "}")) {
+            throw new ConfigException("membership: name must have 1 to " + MessageCodec.NAME + " printable ASCII characters");
         }
         codec = new MessageCodec(config.fleet());
         this.told = told;
--- a/src/main/java/mintstair/membership/MessageCodec.java
+++ b/src/main/java/mintstair/membership/MessageCodec.java
@@ -26,7 +26,7 @@
  * Whatever is not whole, not of this fleet or out of bounds is no message; nothing of it is taken in.
  */
 final class MessageCodec {
-    /** Longest name of a member, and longest address, in bytes. */
+    /** Longest name of a member, and longest address, in bytes; both of printable ASCII, so that what fits by length fits a datagram. */
     static final int NAME = 48;
     static final int ADDRESS = 64;
     /** No datagram of ours is longer; what is read into less room is cut and thus refused. */
@@ -94,7 +94,7 @@
     }
 
     private static void write(DataOutputStream out, String text) throws IOException {
-        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        byte[] bytes = text.getBytes(StandardCharsets.US_ASCII);
         out.writeByte(bytes.length);
         out.write(bytes);
     }
@@ -150,6 +150,12 @@
         }
         byte[] bytes = new byte[length];
         in.get(bytes);
-        return new String(bytes, StandardCharsets.UTF_8);
+        for (byte b : bytes) {
+            // A line's end in a name would forge lines of the log and of what operators are shown.
+            if (b <= ' ' || b > '~') {
+                throw new IllegalArgumentException("no text");
+            }
+        }
+        return new String(bytes, StandardCharsets.US_ASCII);
     }
 }
--- a/src/test/java/mintstair/membership/MessageCodecTest.java
+++ b/src/test/java/mintstair/membership/MessageCodecTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -67,6 +68,17 @@
             new Message(rumour("n".repeat(MessageCodec.NAME + 1), 1, MemberState.ALIVE, 0), new Message.News(), List.of())))));
     }
 
+    /** A name with a line's end would forge lines of the log and of the members command; one beyond ASCII overflows a page. */
+    @Test
+    void namesOfOtherThanPrintableAsciiAreRefused() {
+        for (String name : List.of("a\nmember b alive", "a b", "a\u0000", "\u00e4")) {
+            byte[] bytes = codec.encode(new Message(rumour("x".repeat(name.length()), 1, MemberState.ALIVE, 0), new Message.News(), List.of()));
+            byte[] put = name.getBytes(StandardCharsets.ISO_8859_1);
+            System.arraycopy(put, 0, bytes, 9, put.length);
+            assertNull(codec.decode(ByteBuffer.wrap(bytes)), name);
+        }
+    }
+
     @Test
     void garbageNeverThrows() {
         Random random = new Random(1);
