Wait for the figure of a refutation in place of reading it once

At fault: the test, which read member_refutations once; figures are renewed each 0.1 s, and the others, whose views showed the refutation, are read first. Ruled out: a missing refutation, as a suspect is alive again only at a higher incarnation. Now it waits for the figure. The test passes.

--- a/src/test/java/mintstair/program/MembershipProgramTest.java
+++ b/src/test/java/mintstair/program/MembershipProgramTest.java
@@ -118,7 +118,14 @@
         for (Program program : programs) {
             assertEquals(0, figure(program, "member_deaths"));
         }
-        assertTrue(figure(still, "member_refutations") >= 1, "it refuted");
+        // Its figures are renewed each 0.1 s: the others may show that it refuted before they do.
+        Program.await(() -> {
+            try {
+                return figure(still, "member_refutations") >= 1;
+            } catch (IOException e) {
+                return false;
+            }
+        }, "it to have refuted");
         still.awaitFigure("members_settled=1");
     }
 
