Ask the own agent for the list by its clock: leavers known within the grace

Requests went to hosts announced as leaving.

At fault: Watch.giveUpAfter(ANSWERED_WITHIN + wait), 24 s for a call that counts after 22; and backoff.next() after it, which CallSpread draws from up to 8 and 16 s at 100 proxies, for an agent on the own machine that answers at once and at no cost.

Where lists are pushed, a quarter of the grace that the settings leave is now for an answer, half for a call that waits, and the rest for asking anew; a next call is made beside one that is silent, up to four, and the first heard stays. Failures wait 10 ms, doubled up to a quarter of the grace. Where one service is asked by all, silence is noticed 1 s after the time that was asked for (2 s are left), and 3 s after a call for the whole list (6 s). Connections that do not come up are closed when given up.

--- a/src/main/java/mintstair/config/Env.java
+++ b/src/main/java/mintstair/config/Env.java
@@ -20,6 +20,10 @@
     public final Map<String, Integer> classes = new LinkedHashMap<>();
     /** How many proxies share the hosts and their list, this one included. */
     public final int proxies;
+    /** Whether an agent on this machine is sent the list, rather than all proxies asking one service. */
+    public final boolean listPushed;
+    /** For so long a host may still be sent to once it is told to leave, in microseconds. */
+    public final long drainGrace;
     public final Map<String, Integer> tenants = new LinkedHashMap<>();
     public final long positionZero;
     public final List<?> reportFields;
@@ -49,6 +53,7 @@
         connectionIdle = micros(map(env, "limits"), "connIdleS", 15);
         connectTimeout = micros(map(env, "limits"), "connectTimeoutS", 0.25);
         proxies = (int) number(env, "balancers", 1);
+        listPushed = string(env, "discovery", "").equals("automatic");
         settings = new Settings(proxies, (int) number(env, "position", 0),
             string(env, "locality", ""), kinds, shares, number(env, "overShareWorth", 1),
             string(info, "sessionMarks", "").equals("remembered"), check(string(info, "serverChecks", "none")),
@@ -56,6 +61,7 @@
             string(env, "discovery", "").equals("subscribe"), truth(map(env, "clients"), "marksRetry", false),
             number(prices, "probe", 0), number(prices, "crossZone", 0), guards(map(env, "invariants")),
             limits(map(env, "limits")));
+        drainGrace = settings.guards().drainGrace();
     }
 
     /** The longest time, in microseconds, that a request of any class may wait. */
--- a/src/main/java/mintstair/discovery/Watch.java
+++ b/src/main/java/mintstair/discovery/Watch.java
@@ -2,11 +2,12 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Random;
+import java.util.ArrayDeque;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.GrizzlyFuture;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -22,55 +23,57 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import mintstair.config.Json;
 import mintstair.config.ListReader;
+import mintstair.discovery.pace.ListPace;
 import mintstair.proxy.Loop;
 import mintstair.request.HostList;
-import mintstair.retry.Backoff;
 import mintstair.stats.Counters;
 
 /**
  * Keeps a watch on discovery: the whole list first, then one call for changes after the other. The next call
- * must follow within 200 ms of an answer, or changes in between are lost; it follows at once.
+ * must follow within 200 ms of an answer, or changes in between are lost; it follows at once. A line that says nothing for
+ * longer than {@link ListPace} allows, breaks or says what cannot be read is given up for a next one; where the pace allows for it
+ * the next one is tried beside it, and whichever is heard first stays.
  */
 public final class Watch {
-    private static final long WAIT_MILLIS = 20_000;
-    /** Until it has answered, to tell soon whether its revisions are those of the list as last known. */
-    private static final long FIRST_WAIT_MILLIS = 2_000;
     private static final int OK = 200;
-    private static final long ANSWERED_WITHIN = 4_000_000;
 
     private final Loop loop;
     private final InetSocketAddress address;
     private final Consumer<HostList> told;
     private final Counters counters;
     private final TCPNIOConnectorHandler connector;
-    private Connection<?> connection;
-    private Future<?> silence;
+    /** Those that may still be heard, oldest first. */
+    private final ArrayDeque<Line> lines = new ArrayDeque<>();
+    private ListPace pace;
     private long revision;
     private boolean hasAnswered;
-    private final Backoff backoff;
-    private int calls;
+    private Future<?> next;
+    /** Since when nothing that could be used was heard; 0 while all is well. */
+    private long troubledSince;
     private boolean ended;
 
-    /**
-     * Changes are asked for from {@code revision} on, or the whole list where that is below 0; {@code proxies} share the service, and
-     * a list has some {@code lines}.
-     */
-    public Watch(Loop loop, TCPNIOTransport transport, InetSocketAddress address, long revision, int lines, int proxies, Random random,
-            Counters counters, Consumer<HostList> told) {
+    /** Changes are asked for from {@code revision} on, or the whole list where that is below 0. */
+    public Watch(Loop loop, TCPNIOTransport transport, InetSocketAddress address, long revision, ListPace pace, Counters counters,
+            Consumer<HostList> told) {
         this.loop = loop;
         this.address = address;
         this.told = told;
         this.counters = counters;
         this.revision = revision;
-        backoff = new CallSpread(proxies, lines, random).retries();
+        this.pace = pace;
         connector = TCPNIOConnectorHandler.builder(transport).processor(FilterChainBuilder.stateless()
             .add(new TransportFilter()).add(new HttpClientFilter()).add(new Answers()).build()).build();
     }
 
-    /** Ends the watch: nothing more is told, and its connection is closed; on the loop. */
+    /** Asks at this pace from the next call on; on the loop. */
+    public void pace(ListPace changed) {
+        pace = changed;
+    }
+
+    /** Ends the watch: nothing more is told, and its connections are closed; on the loop. */
     public void end() {
         ended = true;
-        drop();
+        drop(null);
     }
 
     /** Begins to watch; on the loop. */
@@ -78,111 +81,182 @@
         if (ended) {
             return;
         }
-        int call = ++calls;
-        connector.connect(address, new EmptyCompletionHandler<Connection>() {
-            @Override
-            public void completed(Connection made) {
-                loop.execute(() -> {
-                    if (call == calls) {
-                        connection = made;
-                        ask();
-                    } else {
-                        made.closeSilently();
-                    }
-                });
-            }
+        if (lines.size() >= pace.mostOut()) {
+            lines.pollFirst().close();
+        }
+        Line line = new Line();
+        lines.add(line);
+        line.open();
+    }
 
-            @Override
-            public void failed(Throwable why) {
-                loop.execute(() -> lost(call));
-            }
-        });
-        giveUpAfter(2_000_000);
+    private void startLater() {
+        cancel(next);
+        next = loop.at(loop.now() + pace.retry(), this::start);
     }
 
-    private void ask() {
-        String path = "/registry/instances";
-        HttpRequestPacket.Builder request = HttpRequestPacket.builder().method(Method.GET).uri(path)
-            .protocol(Protocol.HTTP_1_1).header("Host", address.getHostString() + ":" + address.getPort());
-        long wait = hasAnswered ? WAIT_MILLIS : FIRST_WAIT_MILLIS;
-        if (revision >= 0) {
-            request.query("index=" + revision + "&wait=" + wait);
-        }
-        connection.write(request.build());
-        counters.listCalls++;
-        giveUpAfter(ANSWERED_WITHIN + (revision < 0 ? 0 : wait * 1000));
+    /** Closes all but this one. */
+    private void drop(Line kept) {
+        cancel(next);
+        next = null;
+        lines.removeIf(line -> {
+            if (line != kept) {
+                line.close();
+            }
+            return line != kept;
+        });
     }
 
-    /** An agent that was cut off stays silent on a connection that stays open. */
-    private void giveUpAfter(long micros) {
-        if (silence != null) {
-            silence.cancel(false);
+    private static void cancel(Future<?> task) {
+        if (task != null) {
+            task.cancel(false);
         }
-        int call = calls;
-        silence = loop.at(loop.now() + micros, () -> lost(call));
     }
 
-    private void lost(int call) {
-        if (call != calls) {
-            return;
-        }
-        drop();
+    /** Of a row of troubles only the first is told, and its end. */
+    private void troubled(String why) {
         counters.listCallsFailed++;
-        loop.at(loop.now() + backoff.next(), this::start);
+        if (troubledSince == 0) {
+            troubledSince = loop.now();
+            System.err.println("discovery: " + why);
+        }
     }
 
-    private void drop() {
-        calls++;
-        if (connection != null) {
-            connection.closeSilently();
-            connection = null;
-        }
-        if (silence != null) {
-            silence.cancel(false);
+    private void heard() {
+        if (troubledSince > 0) {
+            System.err.println("discovery: heard again after " + (loop.now() - troubledSince) / 1000 + " ms");
         }
+        troubledSince = 0;
+        hasAnswered = true;
+        pace.answered();
     }
 
-    private void answered(Connection<?> by, int status, byte[] body) {
-        if (by != connection) {
+    /** Takes one answer in and asks on; {@code line} is the only one from here on. */
+    private void answered(Line line, int status, byte[] body) {
+        if (!lines.contains(line)) {
             return;
         }
+        drop(line);
         if (status != OK) {
-            // Turned away, as one of many: the list and the connection are as good as before, but not asked for at once.
-            System.err.println("discovery: status " + status);
-            int call = ++calls;
-            counters.listCallsFailed++;
-            long pause = backoff.next();
-            giveUpAfter(ANSWERED_WITHIN + pause);
-            loop.at(loop.now() + pause, () -> {
-                if (call == calls && connection == by) {
-                    ask();
-                }
-            });
+            // Turned away: the list and the connection are as good as before, but not asked for at once.
+            troubled("status " + status);
+            line.askLater();
             return;
         }
-        HostList list = null;
+        HostList list;
         try {
             list = ListReader.read(Json.read(body));
         } catch (IOException | IllegalArgumentException e) {
             // A list that cannot be read changes nothing: the last one stands, and the whole is asked for.
-            System.err.println("discovery: " + String.valueOf(e.getMessage()).split("\n")[0]);
+            troubled(String.valueOf(e.getMessage()).split("\n")[0]);
             revision = -1;
-            lost(calls);
+            line.askLater();
             return;
         }
-        backoff.reset();
-        hasAnswered = true;
+        heard();
         if (!list.whole() && list.revision() < revision) {
             // Another service, or one begun anew: what it calls changes is none to this list.
             revision = -1;
-            ask();
+            line.ask();
             return;
         }
         revision = list.revision();
-        ask();
+        line.ask();
         told.accept(list);
     }
 
+    /** One connection to discovery and the call that is out on it. */
+    private final class Line {
+        private GrizzlyFuture<Connection> making;
+        private Connection<?> connection;
+        private Future<?> due;
+
+        void open() {
+            making = connector.connect(address);
+            making.addCompletionHandler(new EmptyCompletionHandler<Connection>() {
+                @Override
+                public void completed(Connection made) {
+                    loop.execute(() -> {
+                        if (lines.contains(Line.this)) {
+                            connection = made;
+                            ask();
+                        } else {
+                            made.closeSilently();
+                        }
+                    });
+                }
+
+                @Override
+                public void failed(Throwable why) {
+                    loop.execute(() -> lost("cannot connect to " + address));
+                }
+            });
+            missingAfter(pace.missingAfter(0));
+        }
+
+        void ask() {
+            HttpRequestPacket.Builder request = HttpRequestPacket.builder().method(Method.GET).uri("/registry/instances")
+                .protocol(Protocol.HTTP_1_1).header("Host", address.getHostString() + ":" + address.getPort());
+            long held = revision < 0 ? 0 : pace.held(!hasAnswered);
+            if (revision >= 0) {
+                request.query("index=" + revision + "&wait=" + held / 1000);
+            }
+            connection.write(request.build());
+            counters.listCalls++;
+            missingAfter(pace.missingAfter(held));
+        }
+
+        void askLater() {
+            cancel(due);
+            due = loop.at(loop.now() + pace.retry(), this::ask);
+        }
+
+        /** An agent that was cut off stays silent on a connection that stays open, or in the middle of an answer. */
+        private void missingAfter(long micros) {
+            cancel(due);
+            due = loop.at(loop.now() + micros, this::missing);
+        }
+
+        private void missing() {
+            if (!pace.asksBeside()) {
+                lost("no answer in time");
+            } else if (lines.peekLast() == this) {
+                troubled("no answer in time");
+                start();
+            }
+        }
+
+        /** The newest is followed by a next one; of older ones no more was hoped for. */
+        private void lost(String why) {
+            boolean newest = lines.peekLast() == this;
+            if (lines.remove(this)) {
+                close();
+                if (newest) {
+                    troubled(why);
+                    startLater();
+                }
+            }
+        }
+
+        void close() {
+            cancel(due);
+            if (connection != null) {
+                connection.closeSilently();
+            } else {
+                // One that has not come up must not be left to the system, which tries for minutes.
+                making.cancel(true);
+            }
+        }
+    }
+
+    private Line lineOf(Connection<?> connection) {
+        for (Line line : lines) {
+            if (line.connection == connection) {
+                return line;
+            }
+        }
+        return null;
+    }
+
     /** Hands whole answers and ends of connections to the loop. */
     private final class Answers extends BaseFilter {
         @Override
@@ -196,7 +270,12 @@
             int status = ((HttpResponsePacket) content.getHttpHeader()).getStatus();
             Connection<?> by = ctx.getConnection();
             content.recycle();
-            loop.execute(() -> answered(by, status, body));
+            loop.execute(() -> {
+                Line line = lineOf(by);
+                if (line != null) {
+                    answered(line, status, body);
+                }
+            });
             return ctx.getStopAction();
         }
 
@@ -204,8 +283,9 @@
         public NextAction handleClose(FilterChainContext ctx) {
             Connection<?> closed = ctx.getConnection();
             loop.execute(() -> {
-                if (closed == connection) {
-                    lost(calls);
+                Line line = lineOf(closed);
+                if (line != null) {
+                    line.lost("the connection broke");
                 }
             });
             return ctx.getStopAction();
--- a/src/main/java/mintstair/discovery/CallSpread.java
+++ b/src/main/java/mintstair/discovery/pace/CallSpread.java
@@ -1,4 +1,4 @@
-package mintstair.discovery;
+package mintstair.discovery.pace;
 
 import java.util.Random;
 import mintstair.retry.Backoff;
--- /dev/null
+++ b/src/main/java/mintstair/discovery/pace/ListPace.java
@@ -0,0 +1,85 @@
+package mintstair.discovery.pace;
+
+import java.util.Random;
+import mintstair.retry.Backoff;
+
+/**
+ * How often a proxy asks for the list of hosts, and when it asks anew; without I/O. A host that is to leave counts as told by the
+ * clock of whoever holds the list, not by when this proxy reads it, so an unheard answer must be noticed within what the rules
+ * leave. Where lists are pushed, an agent on the proxy's own machine answers at once and at no cost, and what it holds counts as
+ * told whether or not anybody asks: a quarter of the grace that the settings leave for a leaver is for an answer, half for a
+ * call that waits for news, and the rest for asking anew. Where lists are asked for, one service answers all proxies: its calls
+ * are spread by {@link CallSpread} and wait for long. All times are microseconds. Not safe for use by several threads.
+ */
+public final class ListPace {
+    /** The grace where settings tell none, or one that no proxy could keep or that would leave a silent agent unnoticed. */
+    static final long GRACE = 1_000_000;
+    private static final long GRACE_LEAST = 200_000;
+    private static final long GRACE_MOST = 4_000_000;
+    /** After a call that failed at the own agent; doubled up to an answer's time. */
+    private static final long AGAIN = 10_000;
+    /** So many calls may be out to the own agent: one that is slow is still heard while a next one is tried. */
+    private static final int CALLS_OUT = 4;
+
+    /** A service that all proxies ask: a call for changes is held there for so long, so that an idle fleet asks seldom. */
+    private static final long HELD = 20_000_000;
+    /** The first one, to tell soon whether its revisions are those of the list as last known. */
+    private static final long HELD_FIRST = 2_000_000;
+    /**
+     * What a silent call misses counts as told 2 s after the time it was held for, and 6 s after it was made: half of that is for
+     * noticing.
+     */
+    private static final long LATE_HELD = 1_000_000;
+    private static final long LATE_WHOLE = 3_000_000;
+
+    private final boolean pushed;
+    private final long quarter;
+    private final Backoff retries;
+
+    private ListPace(boolean pushed, long quarter, Backoff retries) {
+        this.pushed = pushed;
+        this.quarter = quarter;
+        this.retries = retries;
+    }
+
+    /** For an agent on the own machine; {@code grace} is what the settings leave for sending to a host that was told to leave. */
+    public static ListPace pushed(long grace, Random random) {
+        long quarter = Math.max(GRACE_LEAST, Math.min(GRACE_MOST, grace > 0 ? grace : GRACE)) / 4;
+        return new ListPace(true, quarter, new Backoff(random, AGAIN, quarter));
+    }
+
+    /** For a service that so many proxies share, each of which would be sent so many lines. */
+    public static ListPace asked(int proxies, int lines, Random random) {
+        return new ListPace(false, 0, new CallSpread(proxies, lines, random).retries());
+    }
+
+    /** How long a call for changes is to be held; {@code first} until the service has answered once. */
+    public long held(boolean first) {
+        return pushed ? 2 * quarter : first ? HELD_FIRST : HELD;
+    }
+
+    /** An answer that has not come by so long after the call is missing; {@code held} is 0 for a call for the whole list. */
+    public long missingAfter(long held) {
+        return pushed ? held + quarter : held > 0 ? held + LATE_HELD : LATE_WHOLE;
+    }
+
+    /** How long to wait after a call that failed; each further one in a row waits for longer. */
+    public long retry() {
+        return retries.next();
+    }
+
+    /** Whether a further call is made at once beside one whose answer is missing. */
+    public boolean asksBeside() {
+        return pushed;
+    }
+
+    /** How many calls may be out at once. */
+    public int mostOut() {
+        return pushed ? CALLS_OUT : 1;
+    }
+
+    /** An answer came that could be used. */
+    public void answered() {
+        retries.reset();
+    }
+}
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -26,6 +26,7 @@
 import mintstair.control.Calls;
 import mintstair.control.ControlServer;
 import mintstair.discovery.Watch;
+import mintstair.discovery.pace.ListPace;
 import mintstair.front.Front;
 import mintstair.front.mongo.MongoFront;
 import mintstair.front.pg.PgFront;
@@ -240,7 +241,7 @@
         Service service = tried.add(new PgProtocol(), 16,
             (dispatcher, counters) -> new PgFront(tried.loop, dispatcher, tried.transport, counters, 16));
         service.begin(null, config.known(), false);
-        new Watch(tried.loop, tried.transport, config.discovery(), -1, 0, 1, new Random(1), service.counters, list -> { });
+        new Watch(tried.loop, tried.transport, config.discovery(), -1, ListPace.pushed(0, new Random(1)), service.counters, list -> { });
         tried.loop.execute(tried::publish);
         new ControlServer(tried.calls).listen(free);
         tried.rehearse(free);
--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -8,6 +8,7 @@
 import mintstair.backend.Protocol;
 import mintstair.config.Env;
 import mintstair.discovery.Watch;
+import mintstair.discovery.pace.ListPace;
 import mintstair.front.Front;
 import mintstair.proxy.Dispatcher;
 import mintstair.proxy.Loop;
@@ -34,7 +35,7 @@
     private final Backends hosts;
     private final Dispatcher dispatcher;
     private final CompletableFuture<Void> listKnown = new CompletableFuture<>();
-    private int proxies;
+    private Env env;
     /** Of the last whole list: what a call to discovery costs there. */
     private int lines;
     private boolean told;
@@ -46,7 +47,7 @@
         this.loop = loop;
         this.transport = transport;
         random = new Random(seed);
-        proxies = env.proxies;
+        this.env = env;
         hosts = new Backends(loop, protocol, transport, env.connectTimeout, env.connectionIdle,
             mostHostConnections, random, counters);
         dispatcher = new Dispatcher(loop, new RequestRouter(loop.now(), seed, env), hosts, counters,
@@ -67,7 +68,10 @@
 
     /** Goes over to these settings as a whole; on the loop. */
     void settings(Env env) {
-        proxies = env.proxies;
+        this.env = env;
+        if (watch != null) {
+            watch.pace(pace());
+        }
         hosts.times(env.connectTimeout, env.connectionIdle);
         dispatcher.settings(env);
     }
@@ -86,10 +90,14 @@
     }
 
     private void watch(long revision) {
-        watch = new Watch(loop, transport, discovery, revision, lines, proxies, random, counters, list -> told(list, false));
+        watch = new Watch(loop, transport, discovery, revision, pace(), counters, list -> told(list, false));
         watch.start();
     }
 
+    private ListPace pace() {
+        return env.listPushed ? ListPace.pushed(env.drainGrace, random) : ListPace.asked(env.proxies, lines, random);
+    }
+
     /** Takes a list from elsewhere than discovery; on the loop. */
     void listed(HostList list) {
         dispatcher.listed(list, false);
--- a/src/test/java/mintstair/LayeringTest.java
+++ b/src/test/java/mintstair/LayeringTest.java
@@ -17,7 +17,7 @@
 class LayeringTest {
     /** Modules that decide: their time and chance come from outside, and nothing leaves them but what they return. */
     private static final String[] PURE = {"mintstair.decision..", "mintstair.routing..", "mintstair.retry..", "mintstair.registry.view..",
-        "mintstair.membership.swim.."};
+        "mintstair.membership.swim..", "mintstair.discovery.pace.."};
     private static final JavaClasses PROGRAM = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
         .importPackages("mintstair");
 
--- a/src/test/java/mintstair/discovery/WatchTest.java
+++ b/src/test/java/mintstair/discovery/WatchTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
+import mintstair.discovery.pace.ListPace;
 import mintstair.program.Program;
 import mintstair.proxy.Loop;
 import mintstair.request.HostList;
@@ -28,7 +29,7 @@
     private final Counters counters = new Counters();
 
     /**
-     * Watches a scripted discovery from this revision on, one of three proxies, until {@code done}. The script has the number of the
+     * Watches a scripted discovery that is asked, from this revision on, one of three proxies, until {@code done}. The script has the number of the
      * call, from 1 on, and its query; null turns it away.
      */
     private void watch(long revision, int lines, BiFunction<Integer, String, String> script, BooleanSupplier done) throws Exception {
@@ -50,7 +51,7 @@
         TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance().setSelectorRunnersCount(1).build();
         transport.start();
         try (Loop loop = new Loop()) {
-            Watch watch = new Watch(loop, transport, server.getAddress(), revision, lines, 3, new Random(1), counters, told::add);
+            Watch watch = new Watch(loop, transport, server.getAddress(), revision, ListPace.asked(3, lines, new Random(1)), counters, told::add);
             loop.execute(watch::start);
             Program.await(done, "the calls");
             loop.execute(watch::end);
@@ -88,7 +89,7 @@
     /** Guards against a herd at another discovery, where no revision is known but how long lists are: its retries are spread too. */
     @Test
     void retriesAreSpreadByTheLinesOfAListAlsoWithoutARevision() throws Exception {
-        long wait = new CallSpread(3, 60, new Random(1)).retries().next();
+        long wait = ListPace.asked(3, 60, new Random(1)).retry();
         assertTrue(wait > 200_000, "more than without lines");
         watch(-1, 60, (call, query) -> call == 1 ? null : LIST, () -> told.size() > 0);
         assertTrue(times.get(1) - times.get(0) >= (wait - 10_000) * 1000, (times.get(1) - times.get(0)) / 1000 + " us");
--- a/src/test/java/mintstair/discovery/CallSpreadTest.java
+++ b/src/test/java/mintstair/discovery/pace/CallSpreadTest.java
@@ -1,4 +1,4 @@
-package mintstair.discovery;
+package mintstair.discovery.pace;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
