Decide anew what waits for a connection to a host that is told to leave

A request that was decided before the news waited in its host's pool for a connection to come up, for as long as the settings let one take, and was then written to the leaver.

Once the decisions know a list, what waits for a leaver ends as never sent and is decided again. Probes that wait end as well. LeaversTest: a read that waits at a host which lets no connection come up is served by the other one as soon as the first is told to drain; without the call it was refused at 5 s.

--- a/src/main/java/mintstair/backend/Backends.java
+++ b/src/main/java/mintstair/backend/Backends.java
@@ -118,6 +118,11 @@
         });
     }
 
+    @Override
+    public void turnBack() {
+        pools.values().forEach(HostPool::turnBack);
+    }
+
     @Override
     public Sent send(String host, Statement statement, long writeBy, long until, Receiver end) {
         return start(host, new Call(statement::encode, writeBy, until, false, end));
--- a/src/main/java/mintstair/backend/HostPool.java
+++ b/src/main/java/mintstair/backend/HostPool.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import mintstair.request.ConnectionEnd;
 import mintstair.request.HostList;
@@ -72,6 +73,13 @@
         closeIdle(Long.MAX_VALUE);
     }
 
+    /** See {@link mintstair.proxy.Hosts#turnBack}; only what waits by now, as some of it may be sent here again on purpose. */
+    void turnBack() {
+        if (!serving) {
+            List.copyOf(waiting).forEach(call -> call.stop(ConnectionEnd.NEVER_SENT));
+        }
+    }
+
     /** Closes those that have had no call since {@code before}. */
     void closeIdle(long before) {
         while (!idle.isEmpty() && idle.peekLast().idleSince < before) {
--- a/src/main/java/mintstair/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -164,6 +164,8 @@
         }
         hosts.listed(list);
         carryOut(router.report(loop.now(), new News.Listed(list, old)));
+        // A connection may take longer to come up than a leaver may still be sent to.
+        hosts.turnBack();
     }
 
     /** How many requests are held. */
--- a/src/main/java/mintstair/proxy/Hosts.java
+++ b/src/main/java/mintstair/proxy/Hosts.java
@@ -34,4 +34,10 @@
 
     /** Which hosts there are, or what changed of them. */
     void listed(HostList list);
+
+    /**
+     * Ends as never sent what waits for a connection to a host that is listed as leaving or gone; called once what the list tells
+     * has become known to whoever decides, so that it is decided anew.
+     */
+    void turnBack();
 }
--- a/src/main/java/mintstair/serve/Rehearsal.java
+++ b/src/main/java/mintstair/serve/Rehearsal.java
@@ -133,6 +133,9 @@
         @Override
         public void listed(HostList list) { }
 
+        @Override
+        public void turnBack() { }
+
         private Reply read(byte[] bytes) {
             Framer framer = protocol.newFramer();
             Protocol.Parser parser = protocol.newParser();
--- a/src/test/java/mintstair/front/LetGoTest.java
+++ b/src/test/java/mintstair/front/LetGoTest.java
@@ -38,6 +38,9 @@
 
         @Override
         public void listed(HostList list) { }
+
+        @Override
+        public void turnBack() { }
     }
 
     /**
--- a/src/test/java/mintstair/serve/LeaversTest.java
+++ b/src/test/java/mintstair/serve/LeaversTest.java
@@ -4,7 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import mintstair.backend.pg.PgProtocol;
@@ -15,8 +19,10 @@
 import mintstair.program.Program;
 import mintstair.proxy.Loop;
 import mintstair.request.HostList;
+import mintstair.standin.Client;
 import mintstair.standin.ListAgent;
 import mintstair.standin.ListAgent.Fault;
+import mintstair.standin.PgHost;
 import mintstair.stats.Figures;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.junit.jupiter.api.AfterEach;
@@ -52,7 +58,12 @@
     }
 
     private Service service(int proxies) throws IOException {
-        String settings = Program.SETTINGS.replace("PROBING", "false").replace("\"balancers\":1,",
+        return service(proxies, "0.25");
+    }
+
+    private Service service(int proxies, String connectTimeout) throws IOException {
+        String settings = Program.SETTINGS.replace("PROBING", "false").replace("\"connectTimeoutS\":0.25",
+            "\"connectTimeoutS\":" + connectTimeout).replace("\"balancers\":1,",
             "\"discovery\":\"automatic\",\"balancers\":" + proxies + ",");
         Env env = new Env((Map<?, ?>) Json.read(settings.getBytes(StandardCharsets.UTF_8)));
         return new Service(loop, transport, new PgProtocol(), 5, env, 16,
@@ -195,4 +206,29 @@
         agent.tell("h1023", "DRAINING");
         knownWithin(GRACE_MILLIS);
     }
+
+    private static HostList.Entry replica(String name, int port, HostList.State state) {
+        return new HostList.Entry(name, "127.0.0.1:" + port, "a", 1, state, false, 1, 0);
+    }
+
+    /** Guards against work that was decided before the news and written after it, where connections come up late. */
+    @Test
+    void readThatWaitsForALeaversConnectionIsServedElsewhere() throws IOException {
+        service = service(100, "20");
+        try (ServerSocket mute = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+                PgHost other = new PgHost("other", false, 5)) {
+            HostList.Entry before = replica("mute", mute.getLocalPort(), HostList.State.SERVING);
+            service.begin(null, new HostList(1, true, List.of(before)), false);
+            int port = service.open(new InetSocketAddress("127.0.0.1", 0), null);
+            try (Client client = new Client.Pg(port)) {
+                client.send(false, "id=held,c=any,cluster=1", 15_000);
+                mute.accept();
+                HostList.Entry leaver = replica("mute", mute.getLocalPort(), HostList.State.DRAINING);
+                loop.execute(() -> service.listed(new HostList(2, true,
+                    List.of(leaver, replica("other", other.port(), HostList.State.SERVING)))));
+                assertEquals("served held", client.answer());
+            }
+            service.front.stopListening();
+        }
+    }
 }
