Let no list of members, checks, lists handed over or store entries end below 1,024

64 checks and 256 pings for others could be out at once, 64 lists be handed over, and an entry of the store, MongoDB's list of hosts among them, had 64 KiB, some 380 hosts. The deployments to come have about 120 processes and some hundreds of hosts, and most of a fleet may go at once: a check that is not begun makes a killed process a lost machine for 20 s or more. All are 1,024 now; an entry has 1 MiB, and the log's buffers follow it.

--- a/src/main/java/mintstair/membership/Checks.java
+++ b/src/main/java/mintstair/membership/Checks.java
@@ -25,8 +25,11 @@
         void checked(long number, Swim.Check result);
     }
 
-    /** More checks are not begun: they count as silent. */
-    private static final int MOST = 64;
+    /**
+     * More checks are not begun: they count as silent, and a process that was killed is then held for a lost machine. A fleet's
+     * members may all go at once; each check is a descriptor for no longer than a quarter of a second.
+     */
+    static final int MOST = 1_024;
     private static final long GIVEN_UP_AFTER = 250_000;
 
     /** One connection out, and what it has said so far. */
@@ -60,7 +63,7 @@
         listener = ServerSocketChannel.open();
         try {
             listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            listener.bind(listen, 128);
+            listener.bind(listen, MOST);
             listener.configureBlocking(false);
             listener.register(selector, SelectionKey.OP_ACCEPT, this);
         } catch (IOException e) {
--- a/src/main/java/mintstair/membership/swim/Swim.java
+++ b/src/main/java/mintstair/membership/swim/Swim.java
@@ -44,7 +44,7 @@
     static final int RIDERS = 1_000;
     static final int PAGE = 1_200;
     /** At most so many pings for others are out at a time; one more is not sent on, and the asker gets no nack. */
-    private static final int MOST_ERRANDS = 256;
+    private static final int MOST_ERRANDS = 1_024;
     /** Whole views go out no oftener than this part of the time between comparisons. */
     private static final int SHARE_OF_COMPARES = 8;
 
--- a/src/main/java/mintstair/serve/ListHandover.java
+++ b/src/main/java/mintstair/serve/ListHandover.java
@@ -13,7 +13,7 @@
  * the loop is that far behind, the lists that wait give way to one whole list, which holds all that they would have led to.
  */
 final class ListHandover {
-    static final int MOST = 64;
+    static final int MOST = 1_024;
     private final Executor loop;
     private final Consumer<Told.Hosts> taker;
     private final Deque<List<Told.Hosts>> waiting = new ArrayDeque<>();
--- a/src/main/java/mintstair/store/Store.java
+++ b/src/main/java/mintstair/store/Store.java
@@ -35,8 +35,10 @@
  * on a request's path, and not for sessions' tokens or the health of hosts, which each proxy learns by itself.
  */
 public final class Store implements Closeable {
-    /** A key or value longer than this is not what the store is for. */
-    public static final int LONGEST = 64 * 1024;
+    /** A key and value longer than this are not what the store is for; a list of some thousand hosts is shorter. */
+    public static final int LONGEST = 1024 * 1024;
+    /** An entry of the log must fit what is sent, and what is written, at once. */
+    private static final int BUFFER = 2 * LONGEST;
     private static final TimeDuration TRY = TimeDuration.valueOf(1, TimeUnit.SECONDS);
     private static final int TRIES = 20;
     private static final TimeDuration BETWEEN = TimeDuration.valueOf(200, TimeUnit.MILLISECONDS);
@@ -59,10 +61,10 @@
         NettyConfigKeys.Server.setHost(properties, members.get(name).getHostString());
         NettyConfigKeys.Server.setPort(properties, members.get(name).getPort());
         RaftServerConfigKeys.setStorageDir(properties, List.of(folder.toFile()));
-        RaftServerConfigKeys.Log.setSegmentSizeMax(properties, SizeInBytes.valueOf("1MB"));
+        RaftServerConfigKeys.Log.setSegmentSizeMax(properties, SizeInBytes.valueOf(4 * BUFFER));
         RaftServerConfigKeys.Log.setPreallocatedSize(properties, SizeInBytes.valueOf("64KB"));
-        RaftServerConfigKeys.Log.Appender.setBufferByteLimit(properties, SizeInBytes.valueOf("256KB"));
-        RaftServerConfigKeys.Log.setWriteBufferSize(properties, SizeInBytes.valueOf(256 * 1024 + 8));
+        RaftServerConfigKeys.Log.Appender.setBufferByteLimit(properties, SizeInBytes.valueOf(BUFFER));
+        RaftServerConfigKeys.Log.setWriteBufferSize(properties, SizeInBytes.valueOf(BUFFER + 8));
         RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(properties, true);
         RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(properties, 1000);
         // Without word from a majority for this long a leader stops being one, and refuses.
--- a/src/test/java/mintstair/store/StoreTest.java
+++ b/src/test/java/mintstair/store/StoreTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import mintstair.program.Program;
+import mintstair.standin.ListAgent;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -94,4 +95,14 @@
         assertThrows(IOException.class, () -> running.get("n3").put("state/n1", "down"));
         assertEquals("up", running.get("n3").local("state/n1"));
     }
+
+    /** Guards against a bound below the lists of fleets: MongoDB's hosts are one entry. */
+    @Test
+    void listOfAThousandHostsIsOneEntry() throws IOException {
+        try (ListAgent agent = new ListAgent(1024, true)) {
+            String list = agent.list();
+            running.get("n1").put("config/mongodb/hosts", list);
+            Program.await(() -> running.values().stream().allMatch(s -> list.equals(s.local("config/mongodb/hosts"))), "all members");
+        }
+    }
 }
