Follow the discovery before until the one that a new configuration names has spoken

At SIGHUP the old watch was ended before the new one had come up: while the new address could not be reached no news of a leaver came from anywhere, though what the agent has counts as told 4 s after SIGHUP.

LeaversTest: with the new address refusing, a leaver that the old one tells is known within the grace (in vain for 30 s before); once the new one has spoken the old one is not heard any more.

--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -41,6 +41,10 @@
     private boolean told;
     private InetSocketAddress discovery;
     private Watch watch;
+    /** Whether it has told a list or changes. */
+    private boolean spoken;
+    /** The last one that did, at another address; null where there is none. */
+    private Watch former;
 
     Service(Loop loop, TCPNIOTransport transport, Protocol protocol, long seed, Env env, int mostHostConnections,
             FrontMaker maker) {
@@ -72,17 +76,25 @@
         if (watch != null) {
             watch.pace(pace());
         }
+        if (former != null) {
+            former.pace(pace());
+        }
         hosts.times(env.connectTimeout, env.connectionIdle);
         dispatcher.settings(env);
     }
 
-    /** Watches this discovery from now on, and no other; what the last one told stands until this one speaks. */
+    /**
+     * Watches this discovery from now on; the last one that spoke is followed until this one does, so that no leaver is missed
+     * where it cannot be reached yet.
+     */
     void discover(InetSocketAddress address) {
         if (address.equals(discovery)) {
             return;
         }
         discovery = address;
-        if (watch != null) {
+        if (watch != null && spoken) {
+            former = watch;
+        } else if (watch != null) {
             watch.end();
         }
         // Another's revisions say nothing here. All proxies are told of it together, so their calls that fail are spread as ever.
@@ -90,7 +102,19 @@
     }
 
     private void watch(long revision) {
-        watch = new Watch(loop, transport, discovery, revision, pace(), counters, list -> told(list, false));
+        Watch[] made = new Watch[1];
+        made[0] = new Watch(loop, transport, discovery, revision, pace(), counters, list -> {
+            if (made[0] == watch) {
+                spoken = true;
+                if (former != null) {
+                    former.end();
+                    former = null;
+                }
+            }
+            told(list, false);
+        });
+        watch = made[0];
+        spoken = false;
         watch.start();
     }
 
--- a/src/test/java/mintstair/serve/LeaversTest.java
+++ b/src/test/java/mintstair/serve/LeaversTest.java
@@ -194,6 +194,25 @@
         }
     }
 
+    /** Until then the one before is followed; once the other has spoken, no more. */
+    @Test
+    void discoveryBeforeIsFollowedUntilTheOtherSpeaks() throws IOException {
+        watch();
+        Program.await(() -> agent.asked.size() > 1, "its first answer");
+        try (ListAgent other = new ListAgent(119, false)) {
+            other.refuse();
+            loop.execute(() -> service.discover(other.address()));
+            agent.tell("h7", "DRAINING");
+            knownWithin(GRACE_MILLIS);
+            other.open();
+            Program.await(() -> figure("db_hosts_known") == 119, "the other's list");
+            agent.tell("h8", "DRAINING");
+            int calls = other.asked.size();
+            Program.await(() -> other.asked.size() > calls + 1, "the other's watch");
+            assertEquals(0, figure("db_hosts_excluded"));
+        }
+    }
+
     /** Guards against waits, or sizes, that follow a number of proxies past what was tried before. */
     @Test
     void oneOfAThousandProxiesWithAThousandHostsLearnsItAsSoon() throws IOException {
