Spread over all proxies only the calls that a shared list service turned away

A broken or silent connection says nothing of the service's load: it is made again after 0.05 to 0.1 s, doubled up to 1 s. Lists that are pushed are not touched by this.

--- a/src/main/java/mintstair/discovery/Watch.java
+++ b/src/main/java/mintstair/discovery/Watch.java
@@ -24,6 +24,7 @@
 import mintstair.config.Json;
 import mintstair.config.ListReader;
 import mintstair.discovery.pace.ListPace;
+import mintstair.discovery.pace.ListPace.Failure;
 import mintstair.proxy.Loop;
 import mintstair.request.HostList;
 import mintstair.stats.Counters;
@@ -89,9 +90,9 @@
         line.open();
     }
 
-    private void startLater() {
+    private void startLater(Failure why) {
         cancel(next);
-        next = loop.at(loop.now() + pace.retry(), this::start);
+        next = loop.at(loop.now() + pace.retry(why), this::start);
     }
 
     /** Closes all but this one. */
@@ -139,7 +140,7 @@
         if (status != OK) {
             // Turned away: the list and the connection are as good as before, but not asked for at once.
             troubled("status " + status);
-            line.askLater();
+            line.askLater(Failure.TURNED_AWAY);
             return;
         }
         HostList list;
@@ -149,7 +150,7 @@
             // A list that cannot be read changes nothing: the last one stands, and the whole is asked for.
             troubled(String.valueOf(e.getMessage()).split("\n")[0]);
             revision = -1;
-            line.askLater();
+            line.askLater(Failure.BROKEN);
             return;
         }
         heard();
@@ -187,10 +188,10 @@
 
                 @Override
                 public void failed(Throwable why) {
-                    loop.execute(() -> lost("cannot connect to " + address));
+                    loop.execute(() -> lost("cannot connect to " + address, Failure.BROKEN));
                 }
             });
-            missingAfter(pace.missingAfter(0));
+            missingAfter(0);
         }
 
         void ask() {
@@ -202,23 +203,23 @@
             }
             connection.write(request.build());
             counters.listCalls++;
-            missingAfter(pace.missingAfter(held));
+            missingAfter(held);
         }
 
-        void askLater() {
+        void askLater(Failure why) {
             cancel(due);
-            due = loop.at(loop.now() + pace.retry(), this::ask);
+            due = loop.at(loop.now() + pace.retry(why), this::ask);
         }
 
         /** An agent that was cut off stays silent on a connection that stays open, or in the middle of an answer. */
-        private void missingAfter(long micros) {
+        private void missingAfter(long held) {
             cancel(due);
-            due = loop.at(loop.now() + micros, this::missing);
+            due = loop.at(loop.now() + pace.missingAfter(held), () -> missing(held));
         }
 
-        private void missing() {
+        private void missing(long held) {
             if (!pace.asksBeside()) {
-                lost("no answer in time");
+                lost("no answer in time", pace.missing(held));
             } else if (lines.peekLast() == this) {
                 troubled("no answer in time");
                 start();
@@ -226,13 +227,13 @@
         }
 
         /** The newest is followed by a next one; of older ones no more was hoped for. */
-        private void lost(String why) {
+        private void lost(String why, Failure failure) {
             boolean newest = lines.peekLast() == this;
             if (lines.remove(this)) {
                 close();
                 if (newest) {
                     troubled(why);
-                    startLater();
+                    startLater(failure);
                 }
             }
         }
@@ -285,7 +286,7 @@
             loop.execute(() -> {
                 Line line = lineOf(closed);
                 if (line != null) {
-                    line.lost("the connection broke");
+                    line.lost("the connection broke", Failure.BROKEN);
                 }
             });
             return ctx.getStopAction();
--- a/src/main/java/mintstair/discovery/pace/ListPace.java
+++ b/src/main/java/mintstair/discovery/pace/ListPace.java
@@ -31,26 +31,39 @@
      */
     private static final long LATE_HELD = 1_000_000;
     private static final long LATE_WHOLE = 3_000_000;
+    /** The longest wait after a connection to it broke: what is missed meanwhile counts as told within 6 s. */
+    private static final long AGAIN_MOST = 1_000_000;
+
+    /** Why a call has to be made again. */
+    public enum Failure {
+        /** Its connection broke, was not made or fell silent, or it could not be read: that says nothing of the load on others. */
+        BROKEN,
+        /** It was turned away, or a service that owed an answer at once gave none. */
+        TURNED_AWAY
+    }
 
     private final boolean pushed;
     private final long quarter;
-    private final Backoff retries;
+    private final Backoff broken;
+    private final Backoff turnedAway;
 
-    private ListPace(boolean pushed, long quarter, Backoff retries) {
+    private ListPace(boolean pushed, long quarter, Backoff broken, Backoff turnedAway) {
         this.pushed = pushed;
         this.quarter = quarter;
-        this.retries = retries;
+        this.broken = broken;
+        this.turnedAway = turnedAway;
     }
 
     /** For an agent on the own machine; {@code grace} is what the settings leave for sending to a host that was told to leave. */
     public static ListPace pushed(long grace, Random random) {
         long quarter = Math.max(GRACE_LEAST, Math.min(GRACE_MOST, grace > 0 ? grace : GRACE)) / 4;
-        return new ListPace(true, quarter, new Backoff(random, AGAIN, quarter));
+        Backoff retries = new Backoff(random, AGAIN, quarter);
+        return new ListPace(true, quarter, retries, retries);
     }
 
     /** For a service that so many proxies share, each of which would be sent so many lines. */
     public static ListPace asked(int proxies, int lines, Random random) {
-        return new ListPace(false, 0, new CallSpread(proxies, lines, random).retries());
+        return new ListPace(false, 0, new Backoff(random, CallSpread.RETRY, AGAIN_MOST), new CallSpread(proxies, lines, random).retries());
     }
 
     /** How long a call for changes is to be held; {@code first} until the service has answered once. */
@@ -64,8 +77,13 @@
     }
 
     /** How long to wait after a call that failed; each further one in a row waits for longer. */
-    public long retry() {
-        return retries.next();
+    public long retry(Failure why) {
+        return (why == Failure.BROKEN ? broken : turnedAway).next();
+    }
+
+    /** What a call whose answer is missing comes to; {@code held} as above. */
+    public Failure missing(long held) {
+        return held > 0 ? Failure.BROKEN : Failure.TURNED_AWAY;
     }
 
     /** Whether a further call is made at once beside one whose answer is missing. */
@@ -80,6 +98,7 @@
 
     /** An answer came that could be used. */
     public void answered() {
-        retries.reset();
+        broken.reset();
+        turnedAway.reset();
     }
 }
--- a/src/test/java/mintstair/discovery/WatchTest.java
+++ b/src/test/java/mintstair/discovery/WatchTest.java
@@ -89,7 +89,7 @@
     /** Guards against a herd at another discovery, where no revision is known but how long lists are: its retries are spread too. */
     @Test
     void retriesAreSpreadByTheLinesOfAListAlsoWithoutARevision() throws Exception {
-        long wait = ListPace.asked(3, 60, new Random(1)).retry();
+        long wait = ListPace.asked(3, 60, new Random(1)).retry(ListPace.Failure.TURNED_AWAY);
         assertTrue(wait > 200_000, "more than without lines");
         watch(-1, 60, (call, query) -> call == 1 ? null : LIST, () -> told.size() > 0);
         assertTrue(times.get(1) - times.get(0) >= (wait - 10_000) * 1000, (times.get(1) - times.get(0)) / 1000 + " us");
--- /dev/null
+++ b/src/test/java/mintstair/discovery/pace/ListPaceTest.java
@@ -0,0 +1,68 @@
+package mintstair.discovery.pace;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Random;
+import mintstair.discovery.pace.ListPace.Failure;
+import org.junit.jupiter.api.Test;
+
+/** The times by which leavers count as told, at one of 100 and of 1,024 proxies. */
+class ListPaceTest {
+    private static final long GRACE = 1_000_000;
+    /** What it takes to connect and be answered, and what this proxy itself may be late by. */
+    private static final long ANEW = 100_000;
+
+    @Test
+    void ownAgentThatIsSilentOrBreaksIsAskedAnewWithinTheGrace() {
+        for (long grace : new long[] {500_000, GRACE, 2 * GRACE, 30 * GRACE}) {
+            ListPace pace = ListPace.pushed(grace, new Random(1));
+            long held = pace.held(false);
+            assertEquals(held, pace.held(true));
+            assertTrue(pace.missingAfter(held) + ANEW <= grace, grace + "");
+            // Also where grace is long a silent watch is noticed long before what it misses counts.
+            assertTrue(pace.missingAfter(held) <= 3_000_000, grace + "");
+            for (int n = 0; n < 50; n++) {
+                assertTrue(pace.retry(n % 2 == 0 ? Failure.BROKEN : Failure.TURNED_AWAY) + ANEW <= grace / 2, grace + "");
+            }
+            pace.answered();
+            assertTrue(pace.retry(Failure.BROKEN) <= 10_000);
+        }
+    }
+
+    @Test
+    void graceThatIsMissingOrTooShortAsksNoOftenerThanTenTimesASecond() {
+        assertEquals(ListPace.pushed(GRACE, new Random(1)).held(false), ListPace.pushed(0, new Random(1)).held(false));
+        assertEquals(100_000, ListPace.pushed(1, new Random(1)).held(false));
+    }
+
+    /** A watch that is silent counts 2 s after the time it was held for, any call after 6 s; a leaver may be sent to for the grace. */
+    @Test
+    void sharedServiceThatIsSilentOrBreaksIsAskedAnewBeforeItCounts() {
+        for (int proxies : new int[] {3, 100, 1024}) {
+            ListPace pace = ListPace.asked(proxies, 120, new Random(proxies));
+            for (boolean first : new boolean[] {true, false}) {
+                long held = pace.held(first);
+                assertTrue(pace.missingAfter(held) + pace.retry(pace.missing(held)) + ANEW <= held + 2_000_000 + GRACE);
+                pace.answered();
+            }
+            for (int n = 0; n < 50; n++) {
+                assertTrue(pace.retry(Failure.BROKEN) <= 1_000_000);
+            }
+        }
+    }
+
+    /** Calls that a busy service turned away are spread over all proxies, those to an own agent are not. */
+    @Test
+    void onlyWhatASharedServiceTurnsAwayIsSpread() {
+        long longest = 0;
+        ListPace shared = ListPace.asked(100, 120, new Random(1));
+        ListPace own = ListPace.pushed(GRACE, new Random(1));
+        for (int n = 0; n < 50; n++) {
+            longest = Math.max(longest, shared.retry(Failure.TURNED_AWAY));
+            assertTrue(own.retry(Failure.TURNED_AWAY) <= GRACE / 4);
+        }
+        assertTrue(longest > 8_000_000, longest + "");
+        assertEquals(Failure.TURNED_AWAY, shared.missing(0));
+    }
+}
--- a/src/test/java/mintstair/serve/LeaversTest.java
+++ b/src/test/java/mintstair/serve/LeaversTest.java
@@ -58,13 +58,13 @@
     }
 
     private Service service(int proxies) throws IOException {
-        return service(proxies, "0.25");
+        return service(proxies, "automatic", "0.25");
     }
 
-    private Service service(int proxies, String connectTimeout) throws IOException {
+    private Service service(int proxies, String discovery, String connectTimeout) throws IOException {
         String settings = Program.SETTINGS.replace("PROBING", "false").replace("\"connectTimeoutS\":0.25",
             "\"connectTimeoutS\":" + connectTimeout).replace("\"balancers\":1,",
-            "\"discovery\":\"automatic\",\"balancers\":" + proxies + ",");
+            "\"discovery\":\"" + discovery + "\",\"balancers\":" + proxies + ",");
         Env env = new Env((Map<?, ?>) Json.read(settings.getBytes(StandardCharsets.UTF_8)));
         return new Service(loop, transport, new PgProtocol(), 5, env, 16,
             (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, 16));
@@ -106,6 +106,16 @@
         knownWithin(GRACE_MILLIS);
     }
 
+    /** Where all ask one service only what it turned away is spread; what was missed meanwhile counts after 6 s. */
+    @Test
+    void watchOnASharedServiceThatIsResetIsOpenedSoon() throws IOException {
+        service = service(100, "subscribe", "0.25");
+        watch();
+        agent.reset();
+        agent.tell("h7", "DRAINING");
+        knownWithin(SILENCE_MILLIS / 2);
+    }
+
     @Test
     void silentWatchIsOpenedAnewBeforeWhatItMissesCountsAsTold() throws IOException {
         watch();
@@ -233,7 +243,7 @@
     /** Guards against work that was decided before the news and written after it, where connections come up late. */
     @Test
     void readThatWaitsForALeaversConnectionIsServedElsewhere() throws IOException {
-        service = service(100, "20");
+        service = service(100, "automatic", "20");
         try (ServerSocket mute = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
                 PgHost other = new PgHost("other", false, 5)) {
             HostList.Entry before = replica("mute", mute.getLocalPort(), HostList.State.SERVING);
