--- a/src/main/java/mintstair/discovery/Watch.java
+++ b/src/main/java/mintstair/discovery/Watch.java
@@ -37,6 +37,8 @@
  */
 public final class Watch {
     private static final int OK = 200;
+    /** After trouble a call to the own agent is held for no longer than this: the next silence is to show sooner. */
+    private static final long SIGN_OF_LIFE = 1_000;
 
     private final Loop loop;
     private final InetSocketAddress address;
@@ -197,7 +199,7 @@
         void ask() {
             HttpRequestPacket.Builder request = HttpRequestPacket.builder().method(Method.GET).uri("/registry/instances")
                 .protocol(Protocol.HTTP_1_1).header("Host", address.getHostString() + ":" + address.getPort());
-            long held = revision < 0 ? 0 : pace.held(!hasAnswered);
+            long held = revision < 0 ? 0 : troubledSince > 0 && pace.asksBeside() ? SIGN_OF_LIFE : pace.held(!hasAnswered);
             if (revision >= 0) {
                 request.query("index=" + revision + "&wait=" + held / 1000);
             }
--- a/src/test/java/mintstair/serve/LeaversTest.java
+++ b/src/test/java/mintstair/serve/LeaversTest.java
@@ -153,6 +153,8 @@
         watch();
         agent.silent(true);
         Program.await(() -> service.counters.listCallsFailed > 5, "some tries");
+        assertTrue(agent.asked.size() < 20, "no more than a few calls a second: " + agent.asked.size());
+        assertEquals(1, agent.waits.get(agent.waits.size() - 1), "calls that wait would show a further silence late");
         agent.tell("h7", "DRAINING");
         agent.silent(false);
         knownWithin(GRACE_MILLIS);
--- a/src/test/java/mintstair/standin/ListAgent.java
+++ b/src/test/java/mintstair/standin/ListAgent.java
@@ -29,6 +29,8 @@
 
     /** The index that each call asked from, null where it asked for the whole list. */
     public final List<String> asked = new CopyOnWriteArrayList<>();
+    /** For how many milliseconds each call wanted to wait for news, 0 where it did not. */
+    public final List<Long> waits = new CopyOnWriteArrayList<>();
     private final Map<String, Target> targets = new LinkedHashMap<>();
     private final Set<Socket> sockets = Collections.synchronizedSet(new HashSet<>());
     private final Set<Socket> mute = Collections.synchronizedSet(new HashSet<>());
@@ -140,12 +142,14 @@
 
     private void answer(Socket socket, String path) throws IOException, InterruptedException {
         String index = path.contains("index=") ? path.replaceAll(".*index=(\\d+).*", "$1") : null;
+        long wait = index == null ? 0 : Long.parseLong(path.replaceAll(".*wait=(\\d+).*", "$1"));
+        waits.add(wait);
         asked.add(String.valueOf(index));
         Fault fault;
         String body;
         synchronized (this) {
             int known = index == null ? 0 : Integer.parseInt(index);
-            long until = System.nanoTime() + (index == null ? 0 : Long.parseLong(path.replaceAll(".*wait=(\\d+).*", "$1")) * 1_000_000);
+            long until = System.nanoTime() + wait * 1_000_000;
             while (known >= revision && System.nanoTime() < until && next != Fault.BUSY) {
                 wait(Math.max(1, (until - System.nanoTime()) / 1_000_000));
             }
