Close connections to hosts that do not come up when they are given up

A try at a host that is silent was given up after the connect timeout, but its socket stayed with the system for about two minutes: nothing closed a connection that was not up yet, and the limit on connections no longer counted it.

BackendsTest: after the timeout no try to the silent host is left in the system's table (still there after 30 s before).

--- a/src/main/java/mintstair/backend/HostConnection.java
+++ b/src/main/java/mintstair/backend/HostConnection.java
@@ -7,6 +7,7 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.GrizzlyFuture;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.NIOConnection;
@@ -35,6 +36,7 @@
     private final Framer framer;
     private final Protocol.Parser parser;
     private State state = State.OPENING;
+    private GrizzlyFuture<Connection> making;
     private Connection<?> connection;
     private Call call;
     private volatile boolean written;
@@ -57,7 +59,8 @@
 
     void open(InetSocketAddress to) {
         address = to;
-        backends.connector.connect(to, new EmptyCompletionHandler<Connection>() {
+        making = backends.connector.connect(to);
+        making.addCompletionHandler(new EmptyCompletionHandler<Connection>() {
             @Override
             public void completed(Connection made) {
                 intake = new Intake(made, MOST_HELD, MOST_IN_NEED, backends.held, Backends.MOST_HELD);
@@ -147,6 +150,9 @@
         state = State.CLOSED;
         if (connection != null) {
             connection.closeSilently();
+        } else {
+            // The system tries for two minutes to reach a machine that is silent, and holds a descriptor as long.
+            making.cancel(true);
         }
     }
 
--- a/src/test/java/mintstair/backend/BackendsTest.java
+++ b/src/test/java/mintstair/backend/BackendsTest.java
@@ -4,9 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -14,6 +19,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.stream.Stream;
 import mintstair.backend.pg.PgProtocol;
 import mintstair.program.Program;
 import mintstair.proxy.Hosts;
@@ -228,4 +234,49 @@
             }
         }
     }
+
+    /** How many connections to this port are being tried and not up; of either family, as a socket of IPv6 may carry IPv4. */
+    private static long tries(int port) {
+        String to = String.format(":%04X", port);
+        return Stream.of("/proc/net/tcp", "/proc/net/tcp6").flatMap(file -> {
+            try {
+                return Files.readAllLines(Path.of(file)).stream();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }).map(line -> line.trim().split(" +")).filter(words -> words[2].endsWith(to) && words[3].equals("02")).count();
+    }
+
+    /** Guards against a lost zone that takes all descriptors: each try at a silent machine would hold one for two minutes. */
+    @Test
+    void connectionsThatDoNotComeUpAreClosedWhenGivenUp() throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            int port = full.getLocalPort();
+            List<Socket> fill = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                Socket socket = new Socket();
+                fill.add(socket);
+                try {
+                    socket.connect(full.getLocalSocketAddress(), 200);
+                } catch (SocketTimeoutException e) {
+                    break;
+                }
+            }
+            for (Socket socket : fill.subList(fill.size() - 1, fill.size())) {
+                socket.close();
+            }
+            Program.await(() -> tries(port) == 0, "the last try to end");
+            CompletableFuture<Void> listed = new CompletableFuture<>();
+            loop.execute(() -> {
+                backends.listed(new HostList(2, false, List.of(entry("full", port))));
+                listed.complete(null);
+            });
+            listed.join();
+            assertEquals(ConnectionEnd.CONNECT_TIMEOUT, end("full", "lost", 9 * SECOND, 9 * SECOND));
+            Program.await(() -> tries(port) == 0, "the try to be given up");
+            for (Socket socket : fill) {
+                socket.close();
+            }
+        }
+    }
 }
