--- a/src/test/java/mintstair/membership/SwimTest.java
+++ b/src/test/java/mintstair/membership/SwimTest.java
@@ -57,6 +57,17 @@
             detected[0] + " us, then " + detected[1]);
     }
 
+    /** Guards against a bound below fleets to come: of 1,024 all know each other, and one that is killed is soon known to be gone. */
+    @Test
+    void thousandMembersKnowEachOtherAndWhoWasKilled() {
+        FleetPlay play = new FleetPlay(1_024, 1_024, 0, 42).startAll();
+        play.pass(20 * S);
+        assertTrue(play.agrees(), "they find each other");
+        play.kill(play.nodes.get(7));
+        long took = knownToAll(play, 7, 20 * S);
+        assertTrue(took > 0 && took < 6 * S, took + " us");
+    }
+
     /** Without connections to check by, a tenth of all pings fail: nobody may die of that. 60 members, 250 periods each. */
     @Test
     void lossDoesNotKill() {
--- a/src/test/java/mintstair/registry/ViewTest.java
+++ b/src/test/java/mintstair/registry/ViewTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import mintstair.registry.view.Change;
 import mintstair.registry.view.Event;
 import mintstair.registry.view.Header;
@@ -120,6 +121,24 @@
         assertEquals("a=1 b=2", shown());
     }
 
+    /** Guards against a bound below fleets to come, with the usual limits: a thousand hosts come by pages and are all told. */
+    @Test
+    void aThousandHostsAreTakenInAndSoIsTheDrainOfTheLast() {
+        view = new WatchView(NAMES, Limits.USUAL, Times.USUAL, 3, 1);
+        take(view.start(now, null));
+        for (int page = 0; page < 3; page++) {
+            List<Item> items = IntStream.range(500 * page, Math.min(1_024, 500 * (page + 1)))
+                .mapToObj(i -> item(String.format("h%04d", i), 1, 5, 5)).toList();
+            on(new Event.Page(call(), at(40), items, page < 2));
+        }
+        assertEquals(1_024, told.stream().filter(t -> t instanceof Told.Hosts).mapToInt(t -> ((Told.Hosts) t).list().entries().size()).sum());
+        told.clear();
+        long watch = call();
+        on(new Event.Watching(watch, at(40)));
+        on(new Event.Batch(watch, at(41), List.of(deleted("h1023", 41)), false));
+        assertEquals("h1023-", shown());
+    }
+
     @Test
     void aCompactedRevisionIsReadAnewAndWhatVanishedIsDeleted() {
         long watch = live(10, item("a", 1, 5, 5), item("b", 2, 6, 6));
