Ask for a sign of life at the start too, and take a poll never sent for none

Of a row of troubles only the first kind was logged, so that a list that can't be read went unnamed behind a reset; each kind is now, eight a row at most. And a poll that ends as never sent, as those turned back at a leaver do, counted as a sign of life of its host, by which a host of which gone is only advice is used.

SplitterTest: two connections not made with such polls between make a host silent (never before). ListPaceTest: calls after trouble.

--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -840,7 +840,7 @@
         } else if (ending == Ending.RESET) {
             // A connection broke under the poll: if the host is lost, the next one will not be made either.
             h.pollDue = Math.min(h.pollDue, now);
-        } else {
+        } else if (ending != Ending.MOOT) { // never sent: it tells nothing
             // An error is a sign of life, if of nothing else; it must not be asked for again at once.
             h.heardAt = now;
             h.lost = 0;
--- a/src/main/java/mintstair/discovery/Watch.java
+++ b/src/main/java/mintstair/discovery/Watch.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
@@ -37,8 +39,7 @@
  */
 public final class Watch {
     private static final int OK = 200;
-    /** After trouble a call to the own agent is held for no longer than this: the next silence is to show sooner. */
-    private static final long SIGN_OF_LIFE = 1_000;
+    private static final int MOST_NAMED = 8;
 
     private final Loop loop;
     private final InetSocketAddress address;
@@ -49,10 +50,12 @@
     private final ArrayDeque<Line> lines = new ArrayDeque<>();
     private ListPace pace;
     private long revision;
-    private boolean hasAnswered;
+    /** Whether the last call was answered with what could be used. */
+    private boolean sure;
     private Future<?> next;
-    /** Since when nothing that could be used was heard; 0 while all is well. */
+    /** Since when nothing that could be used was heard, and what was logged of that; 0 and nothing while all is well. */
     private long troubledSince;
+    private final Set<String> named = new HashSet<>();
     private boolean ended;
 
     /** Changes are asked for from {@code revision} on, or the whole list where that is below 0. */
@@ -115,11 +118,12 @@
         }
     }
 
-    /** Of a row of troubles only the first is told, and its end. */
+    /** Of a row of troubles each kind is logged once, and the end; a row of ever new kinds must not fill the log. */
     private void troubled(String why) {
         counters.listCallsFailed++;
-        if (troubledSince == 0) {
-            troubledSince = loop.now();
+        sure = false;
+        troubledSince = troubledSince == 0 ? loop.now() : troubledSince;
+        if (named.size() < MOST_NAMED && named.add(why)) {
             System.err.println("discovery: " + why);
         }
     }
@@ -129,7 +133,8 @@
             System.err.println("discovery: heard again after " + (loop.now() - troubledSince) / 1000 + " ms");
         }
         troubledSince = 0;
-        hasAnswered = true;
+        named.clear();
+        sure = true;
         pace.answered();
     }
 
@@ -199,7 +204,7 @@
         void ask() {
             HttpRequestPacket.Builder request = HttpRequestPacket.builder().method(Method.GET).uri("/registry/instances")
                 .protocol(Protocol.HTTP_1_1).header("Host", address.getHostString() + ":" + address.getPort());
-            long held = revision < 0 ? 0 : troubledSince > 0 && pace.asksBeside() ? SIGN_OF_LIFE : pace.held(!hasAnswered);
+            long held = revision < 0 ? 0 : pace.held(sure);
             if (revision >= 0) {
                 request.query("index=" + revision + "&wait=" + held / 1000);
             }
--- a/src/main/java/mintstair/discovery/pace/ListPace.java
+++ b/src/main/java/mintstair/discovery/pace/ListPace.java
@@ -18,13 +18,15 @@
     private static final long GRACE_MOST = 4_000_000;
     /** After a call that failed at the own agent; doubled up to an answer's time. */
     private static final long AGAIN = 10_000;
+    /** As good as not at all: where the own agent has not answered yet, or not for a while, silence is to show at once. */
+    private static final long SIGN_OF_LIFE = 1_000;
     /** So many calls may be out to the own agent: one that is slow is still heard while a next one is tried. */
     private static final int CALLS_OUT = 4;
 
     /** A service that all proxies ask: a call for changes is held there for so long, so that an idle fleet asks seldom. */
     private static final long HELD = 20_000_000;
-    /** The first one, to tell soon whether its revisions are those of the list as last known. */
-    private static final long HELD_FIRST = 2_000_000;
+    /** The first one, and one after trouble: to tell soon whether it answers, and whether its revisions are those that are known. */
+    private static final long HELD_UNSURE = 2_000_000;
     /**
      * What a silent call misses counts as told 2 s after the time it was held for, and 6 s after it was made: half of that is for
      * noticing.
@@ -66,9 +68,9 @@
         return new ListPace(false, 0, new Backoff(random, CallSpread.RETRY, AGAIN_MOST), new CallSpread(proxies, lines, random).retries());
     }
 
-    /** How long a call for changes is to be held; {@code first} until the service has answered once. */
-    public long held(boolean first) {
-        return pushed ? 2 * quarter : first ? HELD_FIRST : HELD;
+    /** How long a call for changes is to be held; {@code sure} where the call before it was answered well. */
+    public long held(boolean sure) {
+        return pushed ? sure ? 2 * quarter : SIGN_OF_LIFE : sure ? HELD : HELD_UNSURE;
     }
 
     /** An answer that has not come by so long after the call is missing; {@code held} is 0 for a call for the whole list. */
--- a/src/test/java/mintstair/decision/SplitterTest.java
+++ b/src/test/java/mintstair/decision/SplitterTest.java
@@ -147,6 +147,8 @@
             bed.now += 10 * MS;
             bed.outcome(bed.last(), bed.sendsOf(bed.last().id()).size() - 1,
                 bed.last().host().equals("r2") ? Ending.NO_ROUTE : Ending.OK);
+            // A poll that was not even sent is no sign of life.
+            bed.router.onProbed(bed.now, "r2", Ending.MOOT, 0, null);
         }
         assertTrue(bed.logs.contains("silent r2: out of reach"), bed.logs.toString());
     }
--- a/src/test/java/mintstair/discovery/pace/ListPaceTest.java
+++ b/src/test/java/mintstair/discovery/pace/ListPaceTest.java
@@ -17,8 +17,8 @@
     void ownAgentThatIsSilentOrBreaksIsAskedAnewWithinTheGrace() {
         for (long grace : new long[] {500_000, GRACE, 2 * GRACE, 30 * GRACE}) {
             ListPace pace = ListPace.pushed(grace, new Random(1));
-            long held = pace.held(false);
-            assertEquals(held, pace.held(true));
+            long held = pace.held(true);
+            assertTrue(pace.missingAfter(pace.held(false)) <= pace.missingAfter(0) + 1_000, "silence shows at once before it has answered");
             assertTrue(pace.missingAfter(held) + ANEW <= grace, grace + "");
             // Also where grace is long a silent watch is noticed long before what it misses counts.
             assertTrue(pace.missingAfter(held) <= 3_000_000, grace + "");
@@ -32,8 +32,8 @@
 
     @Test
     void graceThatIsMissingOrTooShortAsksNoOftenerThanTenTimesASecond() {
-        assertEquals(ListPace.pushed(GRACE, new Random(1)).held(false), ListPace.pushed(0, new Random(1)).held(false));
-        assertEquals(100_000, ListPace.pushed(1, new Random(1)).held(false));
+        assertEquals(ListPace.pushed(GRACE, new Random(1)).held(true), ListPace.pushed(0, new Random(1)).held(true));
+        assertEquals(100_000, ListPace.pushed(1, new Random(1)).held(true));
     }
 
     /** A watch that is silent counts 2 s after the time it was held for, any call after 6 s; a leaver may be sent to for the grace. */
@@ -41,8 +41,9 @@
     void sharedServiceThatIsSilentOrBreaksIsAskedAnewBeforeItCounts() {
         for (int proxies : new int[] {3, 100, 1024}) {
             ListPace pace = ListPace.asked(proxies, 120, new Random(proxies));
-            for (boolean first : new boolean[] {true, false}) {
-                long held = pace.held(first);
+            assertTrue(pace.held(false) <= 2_000_000, "after trouble a silence shows soon");
+            for (boolean sure : new boolean[] {true, false}) {
+                long held = pace.held(sure);
                 assertTrue(pace.missingAfter(held) + pace.retry(pace.missing(held)) + ANEW <= held + 2_000_000 + GRACE);
                 pace.answered();
             }
