Test leavers with the stand-ins that there were, without a further agent of their own

The test's own agent repeated the stand-in for discovery and the relay that breaks connections. New cases: a host that is gone rather than draining, one that is listed anew; the store's longest entry to the byte.

--- a/src/test/java/mintstair/serve/LeaversTest.java
+++ b/src/test/java/mintstair/serve/LeaversTest.java
@@ -20,9 +20,9 @@
 import mintstair.proxy.Loop;
 import mintstair.request.HostList;
 import mintstair.standin.Client;
-import mintstair.standin.ListAgent;
-import mintstair.standin.ListAgent.Fault;
+import mintstair.standin.Discovery;
 import mintstair.standin.PgHost;
+import mintstair.standin.Relay;
 import mintstair.stats.Figures;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.junit.jupiter.api.AfterEach;
@@ -40,27 +40,27 @@
 
     private final Loop loop = new Loop();
     private final TCPNIOTransport transport = Proxy.transport();
-    private ListAgent agent;
+    private Discovery agent;
+    private Relay way;
     private Service service;
+    private int hosts = 120;
 
     @BeforeEach
     void start() throws IOException {
         transport.start();
-        agent = new ListAgent(120, false);
-        service = service(100);
+        agent = new Discovery(Discovery.hosts(hosts));
+        way = new Relay(agent.port());
+        service = service(100, "automatic", "0.25");
     }
 
     @AfterEach
     void stop() throws IOException {
         loop.close();
         transport.shutdownNow();
+        way.close();
         agent.close();
     }
 
-    private Service service(int proxies) throws IOException {
-        return service(proxies, "automatic", "0.25");
-    }
-
     private Service service(int proxies, String discovery, String connectTimeout) throws IOException {
         String settings = Program.SETTINGS.replace("PROBING", "false").replace("\"connectTimeoutS\":0.25",
             "\"connectTimeoutS\":" + connectTimeout).replace("\"balancers\":1,",
@@ -70,14 +70,19 @@
             (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, 16));
     }
 
-    private HostList listOfAgent() throws IOException {
-        return ListReader.read(Json.read(agent.list().getBytes(StandardCharsets.UTF_8)));
+    private static InetSocketAddress address(int port) {
+        return new InetSocketAddress("127.0.0.1", port);
     }
 
-    /** Begins from the agent's list; its watch is open on return. */
+    /** Begins from the list as it is; the watch waits for news on return. */
     private void watch() throws IOException {
-        service.begin(agent.address(), listOfAgent(), true);
-        Program.await(() -> agent.asked.size() > 0, "a watch");
+        String known = "{\"rev\":1,\"all\":true,\"targets\":[" + Discovery.hosts(hosts) + "]}";
+        service.begin(address(way.port()), ListReader.read(Json.read(known.getBytes(StandardCharsets.UTF_8))), true);
+        Program.await(() -> agent.asked.size() > 1, "a watch");
+    }
+
+    private void leaves(String host) {
+        agent.tell(Discovery.hosts(hosts, host + "=DRAINING"));
     }
 
     private long figure(String name) {
@@ -98,11 +103,16 @@
         assertTrue(took < millis, took + " ms");
     }
 
+    private void awaitTries() {
+        long failed = service.counters.listCallsFailed;
+        Program.await(() -> service.counters.listCallsFailed > failed + 4, "some tries");
+    }
+
     @Test
     void watchThatIsResetIsOpenedAtOnce() throws IOException {
         watch();
-        agent.reset();
-        agent.tell("h7", "DRAINING");
+        way.cut();
+        leaves("h7");
         knownWithin(GRACE_MILLIS);
     }
 
@@ -110,64 +120,51 @@
     @Test
     void watchOnASharedServiceThatIsResetIsOpenedSoon() throws IOException {
         service = service(100, "subscribe", "0.25");
-        watch();
-        agent.reset();
-        agent.tell("h7", "DRAINING");
+        service.begin(address(way.port()), null, true);
+        Program.await(() -> agent.asked.size() > 1, "a watch");
+        way.cut();
+        leaves("h7");
         knownWithin(SILENCE_MILLIS / 2);
     }
 
     @Test
     void silentWatchIsOpenedAnewBeforeWhatItMissesCountsAsTold() throws IOException {
         watch();
-        agent.muteOpen();
-        agent.tell("h7", "DRAINING");
+        way.mute();
+        leaves("h7");
         knownWithin(SILENCE_MILLIS);
     }
 
     @Test
-    void agentThatRefusedIsAskedAsSoonAsItListens() throws IOException {
+    void answerThatIsCutInTheMiddleIsAskedForAnew() throws IOException {
         watch();
-        agent.refuse();
-        Program.await(() -> service.counters.listCallsFailed > 4, "some tries");
-        agent.tell("h7", "DRAINING");
-        agent.open();
+        way.tear(3_000);
+        leaves("h7");
         knownWithin(GRACE_MILLIS);
     }
 
     @Test
-    void answersThatAreCutOrStopHalfWayAreAskedForAnew() throws IOException {
+    void agentThatRefusedIsAskedAsSoonAsItListens() throws IOException {
         watch();
-        agent.failOnce(Fault.CUT);
-        agent.tell("h7", "DRAINING");
+        way.refuse(true);
+        awaitTries();
+        leaves("h7");
+        way.refuse(false);
         knownWithin(GRACE_MILLIS);
-        agent.failOnce(Fault.HALF);
-        agent.tell("h7", "SERVING");
-        Program.await(() -> figure("db_hosts_excluded") == 0, "the host back");
-        agent.failOnce(Fault.HALF);
-        agent.tell("h8", "DRAINING");
-        knownWithin(SILENCE_MILLIS);
     }
 
     @Test
     void whatAnAgentHasAfterAnOutageIsKnownSoonAfterItsReturn() throws IOException {
         watch();
-        agent.silent(true);
-        Program.await(() -> service.counters.listCallsFailed > 5, "some tries");
-        assertTrue(agent.asked.size() < 20, "no more than a few calls a second: " + agent.asked.size());
-        assertEquals(1, agent.waits.get(agent.waits.size() - 1), "calls that wait would show a further silence late");
-        agent.tell("h7", "DRAINING");
-        agent.silent(false);
-        knownWithin(GRACE_MILLIS);
+        way.silence(true);
         int calls = agent.asked.size();
-        Program.await(() -> agent.asked.size() > calls + 1, "the watch goes on");
-    }
-
-    @Test
-    void agentThatTurnsAwayIsAskedAgainSoon() throws IOException {
-        watch();
-        agent.failOnce(Fault.BUSY);
-        agent.tell("h7", "DRAINING");
+        awaitTries();
+        assertTrue(way.connections.get() < 20, "no more than a few calls a second: " + way.connections);
+        assertEquals(calls, agent.asked.size(), "nothing passes");
+        leaves("h7");
+        way.silence(false);
         knownWithin(GRACE_MILLIS);
+        assertTrue(agent.asked.subList(calls, agent.asked.size()).contains("index=1&wait=1"), "no wait that hides a further silence");
     }
 
     /** A list that cannot be read changes nothing, and the whole is asked for at once. */
@@ -175,66 +172,65 @@
     void unreadableChangesAreReplacedByTheWholeList() throws IOException {
         watch();
         int before = agent.asked.size();
-        agent.failOnce(Fault.UNREADABLE);
-        agent.tell("h7", "DRAINING");
+        agent.tell("{\"uid\":17}");
+        Program.await(() -> agent.asked.subList(before, agent.asked.size()).contains("null"), "a call for the whole list");
+        assertEquals(hosts, figure("db_hosts_known"));
+        leaves("h7");
         knownWithin(GRACE_MILLIS);
-        assertTrue(agent.asked.subList(before, agent.asked.size()).contains("null"), agent.asked.toString());
-        assertEquals(120, figure("db_hosts_known"));
     }
 
     /** What the agent has counts as told from the first moment of a process, whose own list is from before. */
     @Test
     void newProcessLearnsAtOnceWhatItsOldListDoesNotTell() throws IOException {
-        HostList old = listOfAgent();
-        agent.tell("h7", "DRAINING");
-        agent.failOnce(Fault.CUT);
-        service.begin(agent.address(), old, true);
+        leaves("h7");
+        way.tear(3_000);
+        watch();
         knownWithin(GRACE_MILLIS);
     }
 
-    /** At SIGHUP: another discovery that cannot be reached yet is asked as soon as it can be. */
+    /** A host that is gone, and one that comes back under its name. */
     @Test
-    void discoveryThatASettingMovesToIsAskedAsSoonAsItListens() throws IOException {
+    void goneHostsAreLeftAtOnceAndTakenUpAnewWhenListed() throws IOException {
         watch();
-        try (ListAgent other = new ListAgent(120, false)) {
-            other.refuse();
-            loop.execute(() -> service.discover(other.address()));
-            Program.await(() -> service.counters.listCallsFailed > 4, "some tries");
-            other.tell("h7", "DRAINING");
-            other.open();
-            knownWithin(GRACE_MILLIS);
-        }
+        way.cut();
+        leaves("h7");
+        knownWithin(GRACE_MILLIS);
+        way.cut();
+        agent.tell(Discovery.hosts(hosts - 1));
+        Program.await(() -> figure("db_hosts_known") == hosts - 1 && figure("db_hosts_excluded") == 0, "the one gone, the other back");
+        agent.tell(Discovery.hosts(hosts));
+        Program.await(() -> figure("db_hosts_known") == hosts, "the one listed anew");
     }
 
-    /** Until then the one before is followed; once the other has spoken, no more. */
+    /** At SIGHUP the discovery before is followed until the other speaks, which is asked as soon as it can be, and then no more. */
     @Test
     void discoveryBeforeIsFollowedUntilTheOtherSpeaks() throws IOException {
         watch();
-        Program.await(() -> agent.asked.size() > 1, "its first answer");
-        try (ListAgent other = new ListAgent(119, false)) {
-            other.refuse();
-            loop.execute(() -> service.discover(other.address()));
-            agent.tell("h7", "DRAINING");
+        try (Discovery other = new Discovery(Discovery.hosts(hosts - 1, "h8=DRAINING")); Relay there = new Relay(other.port())) {
+            there.refuse(true);
+            loop.execute(() -> service.discover(address(there.port())));
+            awaitTries();
+            leaves("h7");
             knownWithin(GRACE_MILLIS);
-            other.open();
-            Program.await(() -> figure("db_hosts_known") == 119, "the other's list");
-            agent.tell("h8", "DRAINING");
+            there.refuse(false);
+            Program.await(() -> figure("db_hosts_known") == hosts - 1, "the other's list");
+            agent.tell(Discovery.hosts(hosts));
             int calls = other.asked.size();
             Program.await(() -> other.asked.size() > calls + 1, "the other's watch");
-            assertEquals(0, figure("db_hosts_excluded"));
+            assertEquals(hosts - 1, figure("db_hosts_known"), "the one before is not heard any more");
+            knownWithin(GRACE_MILLIS);
         }
     }
 
     /** Guards against waits, or sizes, that follow a number of proxies past what was tried before. */
     @Test
     void oneOfAThousandProxiesWithAThousandHostsLearnsItAsSoon() throws IOException {
-        agent.close();
-        agent = new ListAgent(1024, true);
-        service = service(1024);
-        service.begin(agent.address(), listOfAgent(), true);
-        Program.await(() -> agent.asked.size() > 0, "a watch");
-        agent.reset();
-        agent.tell("h1023", "DRAINING");
+        hosts = 1024;
+        agent.tell(Discovery.hosts(hosts));
+        service = service(1024, "automatic", "0.25");
+        watch();
+        way.cut();
+        leaves("h1023");
         knownWithin(GRACE_MILLIS);
     }
 
@@ -250,7 +246,7 @@
                 PgHost other = new PgHost("other", false, 5)) {
             HostList.Entry before = replica("mute", mute.getLocalPort(), HostList.State.SERVING);
             service.begin(null, new HostList(1, true, List.of(before)), false);
-            int port = service.open(new InetSocketAddress("127.0.0.1", 0), null);
+            int port = service.open(address(0), null);
             try (Client client = new Client.Pg(port)) {
                 client.send(false, "id=held,c=any,cluster=1", 15_000);
                 mute.accept();
--- a/src/test/java/mintstair/standin/Discovery.java
+++ b/src/test/java/mintstair/standin/Discovery.java
@@ -5,10 +5,15 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
-/** Discovery: the whole list, and a watch that waits for a newer one. */
+/** Discovery: the whole list, in arbitrary pieces, and a watch that waits for a newer one for as long as it is asked to. */
 public final class Discovery implements AutoCloseable {
     public final CopyOnWriteArrayList<String> asked = new CopyOnWriteArrayList<>();
     private final HttpServer server;
@@ -26,15 +31,29 @@
         server.createContext("/registry/instances", exchange -> {
             String query = exchange.getRequestURI().getQuery();
             asked.add(String.valueOf(query));
-            byte[] body = answer(query == null ? -1 : Integer.parseInt(query.replaceAll(".*index=(\\d+).*", "$1")))
-                .getBytes(StandardCharsets.UTF_8);
+            byte[] body = (query == null ? answer(-1, 0) : answer(Integer.parseInt(query.replaceAll(".*index=(\\d+).*", "$1")),
+                Long.parseLong(query.replaceAll(".*wait=(\\d+).*", "$1")))).getBytes(StandardCharsets.UTF_8);
             exchange.sendResponseHeaders(200, body.length);
-            exchange.getResponseBody().write(body);
+            Random pieces = new Random(body.length);
+            for (int at = 0; at < body.length;) {
+                int n = Math.min(body.length - at, 1 + pieces.nextInt(4096));
+                exchange.getResponseBody().write(body, at, n);
+                exchange.getResponseBody().flush();
+                at += n;
+            }
             exchange.close();
         });
         server.start();
     }
 
+    /** So many hosts that nobody is behind, h0 and on in groups of three, indented; of some their states, as in h7=DRAINING. */
+    public static String hosts(int count, String... states) {
+        Map<String, String> told = Stream.of(states).map(s -> s.split("=")).collect(Collectors.toMap(s -> s[0], s -> s[1]));
+        return IntStream.range(0, count).mapToObj(i -> ("{#\"uid\":\"h" + i + "\",#\"endpoint\":\"127.0.0.1:1\",#\"az\":\"a\",#\"model\":\"m\","
+            + "#\"pod_group\":" + i / 3 + ",#\"state\":\"" + told.getOrDefault("h" + i, "SERVING") + "\",#\"capacity_hint\":1.0,#\"boot_ms\":0,"
+            + "#\"rank\":\"" + (i % 3 == 0 ? "source" : "copy") + "\"}").replace("#", "\n    ")).collect(Collectors.joining(",\n  "));
+    }
+
     public int port() {
         return server.getAddress().getPort();
     }
@@ -46,14 +65,18 @@
         notifyAll();
     }
 
-    private synchronized String answer(int known) {
+    private synchronized String answer(int known, long waitMillis) {
+        long until = System.nanoTime() / 1_000_000 + waitMillis;
         try {
-            while (known >= revision) {
-                wait(20_000);
+            for (long left = waitMillis; known >= revision && left > 0; left = until - System.nanoTime() / 1_000_000) {
+                wait(left);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (known >= revision) {
+            return "{\"rev\":" + revision + ",\"all\":false,\"targets\":[]}";
+        }
         return "{\"rev\":" + revision + ",\"all\":true,\"targets\":[" + list + "]}";
     }
 
--- a/src/test/java/mintstair/standin/Relay.java
+++ b/src/test/java/mintstair/standin/Relay.java
@@ -18,6 +18,7 @@
     private final int port;
     private final int target;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final Set<Socket> mute = ConcurrentHashMap.newKeySet();
     private volatile ServerSocket server;
     private volatile boolean silent;
     /** How many bytes still go to clients before all connections are cut; negative for no bound. */
@@ -55,6 +56,11 @@
         }
     }
 
+    /** What is open says nothing more and stays open; new connections are as good as ever. */
+    public void mute() {
+        mute.addAll(sockets);
+    }
+
     /** Refuses new connections, and cuts those that there are; or takes them again. */
     public synchronized void refuse(boolean on) throws IOException {
         if (on) {
@@ -93,7 +99,7 @@
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             for (int n = in.read(bytes); n >= 0; n = in.read(bytes)) {
-                if (silent) {
+                if (silent || mute.contains(from)) {
                     continue;
                 }
                 if (toClient) {
--- a/src/test/java/mintstair/store/StoreTest.java
+++ b/src/test/java/mintstair/store/StoreTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -12,7 +13,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import mintstair.program.Program;
-import mintstair.standin.ListAgent;
+import mintstair.standin.Discovery;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -98,11 +99,12 @@
 
     /** Guards against a bound below the lists of fleets: MongoDB's hosts are one entry. */
     @Test
-    void listOfAThousandHostsIsOneEntry() throws IOException {
-        try (ListAgent agent = new ListAgent(1024, true)) {
-            String list = agent.list();
-            running.get("n1").put("config/mongodb/hosts", list);
-            Program.await(() -> running.values().stream().allMatch(s -> list.equals(s.local("config/mongodb/hosts"))), "all members");
-        }
+    void longestEntryIsKeptByAllAndHoldsAThousandHosts() throws IOException {
+        String key = "config/mongodb/hosts";
+        String longest = "x".repeat(Store.LONGEST - key.length());
+        assertTrue(Discovery.hosts(1024).length() < longest.length());
+        running.get("n1").put(key, longest);
+        Program.await(() -> running.values().stream().allMatch(s -> longest.equals(s.local(key))), "all members");
+        assertThrows(IllegalArgumentException.class, () -> running.get("n1").put(key, longest + "x"));
     }
 }
