--- a/src/test/java/mintstair/serve/LeaversTest.java
+++ b/src/test/java/mintstair/serve/LeaversTest.java
@@ -74,10 +74,15 @@
         return new InetSocketAddress("127.0.0.1", port);
     }
 
-    /** Begins from the list as it is; the watch waits for news on return. */
-    private void watch() throws IOException {
+    /** Begins from the list as it is at first. */
+    private void begin() throws IOException {
         String known = "{\"rev\":1,\"all\":true,\"targets\":[" + Discovery.hosts(hosts) + "]}";
         service.begin(address(way.port()), ListReader.read(Json.read(known.getBytes(StandardCharsets.UTF_8))), true);
+    }
+
+    /** The same; the watch waits for news on return. */
+    private void watch() throws IOException {
+        begin();
         Program.await(() -> agent.asked.size() > 1, "a watch");
     }
 
@@ -120,8 +125,7 @@
     @Test
     void watchOnASharedServiceThatIsResetIsOpenedSoon() throws IOException {
         service = service(100, "subscribe", "0.25");
-        service.begin(address(way.port()), null, true);
-        Program.await(() -> agent.asked.size() > 1, "a watch");
+        watch();
         way.cut();
         leaves("h7");
         knownWithin(SILENCE_MILLIS / 2);
@@ -184,7 +188,7 @@
     void newProcessLearnsAtOnceWhatItsOldListDoesNotTell() throws IOException {
         leaves("h7");
         way.tear(3_000);
-        watch();
+        begin();
         knownWithin(GRACE_MILLIS);
     }
 
