--- a/src/main/java/mintstair/Main.java
+++ b/src/main/java/mintstair/Main.java
@@ -4,6 +4,7 @@
 import java.io.PrintWriter;
 import java.net.InetSocketAddress;
 import java.nio.file.NoSuchFileException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
@@ -125,7 +126,8 @@
                 }
                 System.out.println(value);
             } else if (args[2].equals("put") && args.length == 5) {
-                store.put(args[3], args[4]);
+                // A list of some hundred hosts is longer than the system lets an argument be.
+                store.put(args[3], args[4].equals("-") ? new String(System.in.readAllBytes(), StandardCharsets.UTF_8).strip() : args[4]);
             } else {
                 throw new ConfigException(USAGE);
             }
--- a/src/main/java/mintstair/membership/Checks.java
+++ b/src/main/java/mintstair/membership/Checks.java
@@ -26,8 +26,8 @@
     }
 
     /**
-     * More checks are not begun: they count as silent, and a process that was killed is then held for a lost machine. A fleet's
-     * members may all go at once; each check is a descriptor for no longer than a quarter of a second.
+     * More checks are not begun: they count as silent. The protocol probes one member after the other, so that of these
+     * descriptors, each for a quarter of a second at most, one or two are in use.
      */
     static final int MOST = 1_024;
     private static final long GIVEN_UP_AFTER = 250_000;
--- a/src/main/java/mintstair/serve/ListHandover.java
+++ b/src/main/java/mintstair/serve/ListHandover.java
@@ -14,9 +14,12 @@
  */
 final class ListHandover {
     static final int MOST = 1_024;
+    /** And with no more hosts in all: from a registry that tells whole lists, fewer would fill the heap. */
+    static final int MOST_HOSTS = 32_768;
     private final Executor loop;
     private final Consumer<Told.Hosts> taker;
     private final Deque<List<Told.Hosts>> waiting = new ArrayDeque<>();
+    private int hosts;
     private long conflated;
 
     /** {@code taker} runs on the loop. */
@@ -30,11 +33,12 @@
         if (together.isEmpty()) {
             return;
         }
-        if (waiting.size() < MOST) {
-            waiting.add(together);
+        if (waiting.size() < MOST && (waiting.isEmpty() || hosts + hostsOf(together) <= MOST_HOSTS)) {
+            add(together);
         } else {
             waiting.clear();
-            waiting.add(whole.get());
+            hosts = 0;
+            add(whole.get());
             conflated++;
         }
         if (waiting.size() == 1) {
@@ -42,11 +46,21 @@
         }
     }
 
+    private void add(List<Told.Hosts> together) {
+        waiting.add(together);
+        hosts += hostsOf(together);
+    }
+
+    private static int hostsOf(List<Told.Hosts> together) {
+        return together.stream().mapToInt(told -> told.list().entries().size()).sum();
+    }
+
     private void take() {
         List<List<Told.Hosts>> all;
         synchronized (this) {
             all = List.copyOf(waiting);
             waiting.clear();
+            hosts = 0;
         }
         all.forEach(together -> together.forEach(taker));
     }
--- a/src/test/java/mintstair/serve/ListHandoverTest.java
+++ b/src/test/java/mintstair/serve/ListHandoverTest.java
@@ -4,8 +4,10 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.List;
+import java.util.stream.LongStream;
 import mintstair.registry.view.Told;
 import mintstair.request.HostList;
 import org.junit.jupiter.api.Test;
@@ -36,4 +38,21 @@
         assertEquals(List.of("whole " + (ListHandover.MOST + 1), "" + (ListHandover.MOST + 2), "" + (ListHandover.MOST + 3)), taken);
         assertEquals(1, handover.conflated());
     }
+
+    /** Guards against a heap full of whole lists: their hosts count, not only they. */
+    @Test
+    void manyHostsWaitInNoMoreThanOneWholeList() {
+        Deque<Runnable> loop = new ArrayDeque<>();
+        List<Long> taken = new ArrayList<>();
+        ListHandover handover = new ListHandover(loop::add, h -> taken.add(h.list().revision()));
+        HostList.Entry host = new HostList.Entry("h", "127.0.0.1:1", "z", 1, HostList.State.SERVING, false, 1, 0);
+        List<HostList.Entry> thousand = Collections.nCopies(1_024, host);
+        for (long i = 1; i <= 40; i++) {
+            Told.Hosts each = new Told.Hosts("postgresql", new HostList(i, true, thousand), false);
+            handover.offer(List.of(each), () -> List.of(each));
+        }
+        loop.forEach(Runnable::run);
+        assertEquals(LongStream.rangeClosed(33, 40).boxed().toList(), taken);
+        assertEquals(1, handover.conflated());
+    }
 }
