Conclude anew by new settings what was concluded by the former ones

Seen by review: onSettings replaced the settings, but what had been concluded by the old ones stayed. A host that was warm by the old warmAfterS got its whole part though cold by the new one; one kept in use as goneIsAdvice stayed in use where gone binds; limits kept the part of the fleet told before; a class that was never asked for was taken by the aim of the class of that name before.

Ruled out: tenants' quotas and open requests' classes, which are made anew, or kept, as they should be (tests pass before and after).

Change: ReadWriteSplitter.onSettings goes over hosts and limits; of a class's mean the part that is assumed, not heard, follows the new aim. And Router.onEnd: at the end of a router all that it holds is given up, each with its final answer, refused only where that is harmless.

Tests on the module before: hostThatIsColdByTheNewSettingsIsRampedByThem "74 of 200 once it is cold, 74 before"; hostKeptByAdviceIsLeftWhereGoneBinds "expected: <0> but was: <74>"; limitsFollowTheFleetOfTheNewSettings "expected: <2> but was: <10>"; classThatWasNeverAskedForIsTakenByItsNewAim "expected: <280000> but was: <900000>"; endGivesEachHeldRequestItsOneAnswer "expected: <[1, 3]> but was: <[]>".

--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -90,18 +90,26 @@
 
     /** A learned number of requests in flight, for a primary or for each replica of a group in the mean. */
     static final class Limit {
-        final double least, first, kept;
+        final double kept;
         final Limit pooled;
-        double value, strain, swift, missing, evidence, used = 1;
+        double routers, least, first, value, strain, swift, missing, evidence, used = 1;
         long at;
 
         /** {@code kept}: the fewest in flight that slow answers alone leave; 1 at a primary, for writes. */
         Limit(double routers, Limit pooled, double kept) {
             this.kept = kept;
-            least = Math.max(LEAST_LIMIT_HERE, LEAST_LIMIT / routers);
-            first = Math.max(FIRST_LIMIT_HERE, FIRST_LIMIT / routers);
-            value = first;
             this.pooled = pooled;
+            this.routers = routers;
+            of(routers);
+            value = first;
+        }
+
+        /** One of so many routers from now on, and its part as much smaller or larger. */
+        void of(double among) {
+            least = Math.max(LEAST_LIMIT_HERE, LEAST_LIMIT / among);
+            first = Math.max(FIRST_LIMIT_HERE, FIRST_LIMIT / among);
+            value = Math.max(least, value * routers / among);
+            routers = among;
         }
 
         /** Without answers a limit goes back to where it does not bind: no evidence, plain mechanism. */
@@ -155,7 +163,17 @@
     }
 
     @Override public void onSettings(long at, Settings changed) {
-        adopt(clock(at), changed);
+        long now = clock(at);
+        adopt(now, changed);
+        // What was concluded by the former settings is concluded anew by these.
+        for (Limit all : List.of(allPrimaries, allReplicas)) all.of(routers());
+        for (Group g : groups.values()) g.eachReplica.of(routers());
+        for (Host h : hosts.values()) {
+            h.asPrimary.of(routers());
+            long start = Math.max(h.warmFrom, h.listedStart);
+            if (start > 0 && !h.cold && now - start < settings.guards().warmAfter()) startCold(h, start);
+            if (h.doubted) gone(now, h);
+        }
         actions.log("settings changed: " + kinds.length + " classes");
     }
 
@@ -184,14 +202,14 @@
         double best = 0;
         for (int i = 0; i < kinds.length; i++) {
             RequestClass of = settings.classes().get(i);
-            Kind kind = new Kind(of);
-            kinds[i] = kind;
+            Kind kind = kinds[i] = new Kind(of);
             kind.mean = kind.deviation = of.aim() / 5.0;
             for (Kind k : before) {
-                if (k.of.name().equals(of.name())) {
-                    kind.mean = k.mean;
-                    kind.deviation = k.deviation;
-                }
+                if (!k.of.name().equals(of.name())) continue;
+                // What answers have shown stays; the rest is what these settings make of it.
+                kind.assumed = k.assumed;
+                kind.mean = k.mean + k.assumed * (of.aim() - k.of.aim()) / 5.0;
+                kind.deviation = Math.max(0, k.deviation + k.assumed * (of.aim() - k.of.aim()) / 5.0);
             }
             best = Math.max(best, of.worth() / of.aim());
             if (of.freshness() == Freshness.BOUNDED) tightestBound = Math.min(tightestBound, of.bound());
@@ -206,10 +224,7 @@
     }
 
     /** A clock that goes back is taken to stand. */
-    private long clock(long now) {
-        lastSeen = Math.max(lastSeen, now);
-        return lastSeen;
-    }
+    private long clock(long now) { return lastSeen = Math.max(lastSeen, now); }
 
     private static void require(boolean holds, String otherwise) {
         if (!holds) throw new IllegalArgumentException(otherwise);
@@ -230,9 +245,7 @@
         if (kind != ListKind.CHANGES) {
             Set<String> named = new HashSet<>();
             for (HostEntry e : entries) named.add(e.host());
-            for (Host h : hosts.values()) {
-                if (!named.contains(h.name)) gone(now, h);
-            }
+            for (Host h : hosts.values()) if (!named.contains(h.name)) gone(now, h);
         }
         for (HostEntry e : entries) listed(now, e);
         hosts.values().removeIf(h -> forgets(now, h));
@@ -542,17 +555,13 @@
         g.soughtAt = now;
         g.seeks++;
         boolean all = p == null || !p.ready || p.silent || p.lost > 0 || now - p.polledAt < 2 * SEEK_EVERY;
-        for (Host h : g.members) {
-            if (h.ready && !h.pollOut && (all || h == p)) ask(now, h);
-        }
+        for (Host h : g.members) if (h.ready && !h.pollOut && (all || h == p)) ask(now, h);
         return true;
     }
 
     /** What is out at a group's replicas, what they are trusted with, and their time over the usual. */
     private void survey(long now, Group g) {
-        outThere = 0;
-        trustedThere = 0;
-        usualStretch = 0;
+        outThere = trustedThere = usualStretch = 0;
         int count = 0;
         for (Host h : g.members) {
             if (h == g.primary || !h.ready || h.silent) continue;
@@ -673,9 +682,7 @@
     /** A called-off attempt was paid for when it was called off. */
     private boolean spend(Ending e) {
         if (e == Ending.MISS || e == Ending.MOOT || e == Ending.CANCELLED) return true;
-        boolean can = spare >= 1;
-        if (can) spare--;
-        return can;
+        return spare >= 1 && spare-- >= 1;
     }
 
     /** The final answer at once: refused where that is true and harmless, else failed. */
@@ -696,6 +703,10 @@
         if (q != null && !q.finished) finish(q);
     }
 
+    @Override public void onEnd(long at) {
+        for (Open q : List.copyOf(open.values())) if (!q.finished) giveUp(clock(at), q);
+    }
+
     // ---- what answers and polls tell ----
 
     private void learn(long now, Host h, Open q, Outcome o) {
@@ -708,12 +719,10 @@
         if (o.role() == Role.REPLICA) isReplica(h, now);
         long sent = q.sentAt[o.attempt()];
         boolean write = q.kind.of.freshness() == Freshness.WRITE;
-        if (o.position() != SplitterApi.UNKNOWN && o.role() == Role.REPLICA) {
-            rise(now, h, o.position(), now - o.position());
-        } else if (e == Ending.OK && settings.readCheck() != ReadCheck.NONE && o.role() == Role.REPLICA) {
-            // A checked read that was served proves that its replica had come as far as was asked for.
-            proven(h, need(sent, q));
-        }
+        boolean told = o.position() != SplitterApi.UNKNOWN, checked = settings.readCheck() != ReadCheck.NONE;
+        if (told && o.role() == Role.REPLICA) rise(now, h, o.position(), now - o.position());
+        // A checked read that was served proves that its replica had come as far as was asked for.
+        else if (e == Ending.OK && checked && o.role() == Role.REPLICA) proven(h, need(sent, q));
         if (e == Ending.MISS && !write) h.missAt = now;
         if (e == Ending.FULL) h.fullAt = now;
         if (e == Ending.OK && write && q.request.session() != null && settings.rememberedTokens()) {
@@ -731,6 +740,7 @@
             double off = o.latency() - k.mean;
             h.stretch += NEWEST * (Math.min(10, o.latency() / k.mean) - h.stretch);
             k.mean += NEWEST_OF_CLASS * off;
+            k.assumed *= 1 - NEWEST_OF_CLASS;
             k.deviation += NEWEST_OF_CLASS * (Math.abs(off) - k.deviation);
         }
         boolean bad = e == Ending.ERROR || e == Ending.NO_ROUTE || e == Ending.RESET;
@@ -744,17 +754,15 @@
         // What was given up when hardly begun, as its request's time ran out, tells nothing of a host.
         boolean givenUp = e == Ending.TIMEOUT || e == Ending.CANCELLED && !q.finished;
         if (e == Ending.OK || e == Ending.FULL || givenUp && o.latency() >= OVERDUE * k.of.aim()) {
-            double x = e == Ending.OK ? Math.min(NOT_IN_TIME, (double) o.latency() / k.of.aim())
-                : NOT_IN_TIME;
-            strain(now, h, x, answered, e == Ending.FULL);
+            double ofAim = e == Ending.OK ? (double) o.latency() / k.of.aim() : NOT_IN_TIME;
+            strain(now, h, Math.min(NOT_IN_TIME, ofAim), answered, e == Ending.FULL);
         }
     }
 
     private void strain(long now, Host h, double ofAim, boolean answered, boolean full) {
         Group g = h.group;
-        if (h == g.primary) {
-            h.asPrimary.sample(now, ofAim, answered, full, h.inFlight, 1);
-        } else if (!h.silent) {
+        if (h == g.primary) h.asPrimary.sample(now, ofAim, answered, full, h.inFlight, 1);
+        else if (!h.silent) {
             survey(now, g);
             g.eachReplica.sample(now, ofAim, answered, full, outThere / trustedThere, 1 / trustedThere);
         }
@@ -909,8 +917,7 @@
     }
 
     private static void rested(long now, Host h) {
-        h.owed = 0;
-        h.unanswered = 0;
+        h.owed = h.unanswered = 0;
         h.answeredAt = now;
     }
 
@@ -920,18 +927,15 @@
         boolean ships = h == h.group.primary && h.group.head > now - patience;
         boolean many = h.inFlight + h.unanswered >= SILENT_REQUESTS;
         long since = Math.max(h.answeredAt, awakeSince);
-        if (!h.silent && h.owed > SILENCE && many && !ships && now - since > patience) {
-            fallSilent(now, h, "work out and no answers");
-        }
+        boolean noAnswers = h.owed > SILENCE && many && !ships && now - since > patience;
+        if (!h.silent && noAnswers) fallSilent(now, h, "work out and no answers");
     }
 
     private void fallSilent(long now, Host h, String why) {
         h.silent = true;
         h.silentAt = now;
         actions.log("silent " + h.name + (h == h.group.primary ? " (primary)" : "") + ": " + why);
-        for (Open q : open.values()) {
-            if (!q.finished && q.isAt(h, false)) rescue(now, q, h);
-        }
+        for (Open q : open.values()) if (!q.finished && q.isAt(h, false)) rescue(now, q, h);
     }
 
     /** When a request is tried elsewhere: far past its class's usual time; earlier while answers get lost. */
@@ -967,9 +971,8 @@
     }
 
     private void callOff(Open q) {
-        for (int i = 0; i < q.attempts && settings.limits().cancelling(); i++) {
+        for (int i = 0; i < q.attempts && settings.limits().cancelling(); i++)
             if (q.isOut[i]) actions.cancel(q.request.id(), i);
-        }
     }
 
     /** How often each host is polled by the timer: by the design, or as often as the price allows. */
@@ -1019,7 +1022,6 @@
         return Math.min(last, q.waitsSince + (long) (part * of.aim()));
     }
 
-    @Override public void onPeer(long now, int from, String text) {
-        // Nothing is asked of peers: their messages may be lost, and each router decides on its own.
-    }
+    /** Nothing is asked of peers: their messages may be lost, and each router decides on its own. */
+    @Override public void onPeer(long now, int from, String text) { }
 }
--- a/src/main/java/mintstair/decision/RouterState.java
+++ b/src/main/java/mintstair/decision/RouterState.java
@@ -64,6 +64,8 @@
     static final class Kind {
         final RequestClass of;
         double mean, deviation, worth = 1, room = 1;
+        /** How much of the mean is still what the settings made of it. */
+        double assumed = 1;
 
         Kind(RequestClass of) {
             this.of = of;
--- a/src/main/java/mintstair/decision/SplitterApi.java
+++ b/src/main/java/mintstair/decision/SplitterApi.java
@@ -108,6 +108,9 @@
         /** The client left; no answer is owed any more. */
         void onHangUp(long now, long id);
 
+        /** This router ends: all requests that are held are given up, each with its final answer. */
+        void onEnd(long now);
+
         /** A timer is due. */
         void onTimer(long now, String name);
 
--- a/src/main/java/mintstair/routing/RequestRouter.java
+++ b/src/main/java/mintstair/routing/RequestRouter.java
@@ -159,6 +159,13 @@
         return takeDue();
     }
 
+    /** Ends all that is held: each request gets its final answer now, whatever time it has left. */
+    public List<Directive> end(long at) {
+        now = at;
+        module.onEnd(at);
+        return takeDue();
+    }
+
     /** When {@link #tick} is next to be called; {@link Long#MAX_VALUE} where nothing is due. */
     public long nextTick() {
         return alarms.isEmpty() ? Long.MAX_VALUE : alarms.peek().due;
