Begin no attempt for a client that has gone, and end clients without a reset

(1) An attempt that waits for a connection was only called off where settings allow cancelling; else it was written when the connection came up, seconds after its client had left. And while the loop was busy a request was sent on although the network thread had seen the end of its client's connection. (2) After a protocol error the connection was closed over whatever the client went on sending: its reset may take an answer with it; and whole requests before the error were dropped. (3) Clients that were told to go still counted when others came, who then pushed out ones that should have stayed.

Ruled out: requests held for a primary, between retries, and pipelined ones; they were dropped with their client before.

Change: Exchange.isWanted, asked right before each attempt is carried out and right before it is written (HostPool.serve); the session notes the end on the thread that sees it. Last words are followed by the end of output, and what still comes is read and dropped for 0.25 s or 256 KiB; at once where all connections are taken. The error comes behind the answers to what came whole before it.

Tests without the mend: attemptThatWaitsForAConnectionDoesNotBeginOnceItsClientHasLeft and burstOfClientsThatLeaveIsNotSentOn get the gone client's statement as the first on the connection ("id=gone,c=write,cluster=1,d=4990", "id=gone0,..."); clientThatLeftBeforeTheLoopCameToItsRequestIsNotSentOn "attempts ==> expected: <2> but was: <3>"; clientThatGoesOnSendingHearsItsAnswerTheErrorAndAnOrderlyEnd: EOFException, the second whole request never comes to the host.

--- a/src/main/java/mintstair/backend/Call.java
+++ b/src/main/java/mintstair/backend/Call.java
@@ -37,6 +37,11 @@
         return flows;
     }
 
+    /** Whether somebody still waits for what it would bring. */
+    boolean isWanted() {
+        return listener.isWanted();
+    }
+
     void part(byte[] bytes, Runnable taken) {
         flows = true;
         listener.part(bytes, taken);
--- a/src/main/java/mintstair/backend/HostPool.java
+++ b/src/main/java/mintstair/backend/HostPool.java
@@ -139,8 +139,8 @@
             if (c.isClean()) {
                 Call next = waiting.pollFirst();
                 long now = backends.loop.now();
-                if (now > next.writeBy) {
-                    // This thread itself may have stood still since the choice was made.
+                if (now > next.writeBy || !next.isWanted()) {
+                    // This thread itself may have stood still since the choice was made, or its client has left meanwhile.
                     next.stop(ConnectionEnd.NEVER_SENT);
                     idle.addFirst(c);
                 } else {
--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -36,6 +36,12 @@
     private static final long WRITE_PATIENCE = 5_000_000;
     private static final long NEVER = Long.MAX_VALUE;
     private static final int LAST_LOOK = 4 * 1024;
+    /**
+     * For so long, and so many bytes, what a client goes on sending after its last words is read and dropped: a close over unread
+     * bytes resets the connection, and the words, or an answer before them, may be lost on the way.
+     */
+    private static final long LINGER = 250_000;
+    private static final int MOST_LINGERED = 256 * 1024;
 
     private final Front front;
     private final Connection<?> connection;
@@ -43,6 +49,8 @@
     private final ArrayDeque<byte[]> commands = new ArrayDeque<>();
     private final Intake intake;
     private volatile boolean deaf;
+    /** Set by the thread that sees the end of the connection: the loop may come to it late. */
+    private volatile boolean left;
     private volatile int reads;
     /** Of the reads, those that the loop has taken in. */
     private int looked;
@@ -52,6 +60,10 @@
     private boolean closed;
     private boolean closing;
     private boolean ending;
+    private boolean lingers;
+    /** What is wrong with what it sent behind its commands, which come first. */
+    private String fault;
+    private volatile int dropped;
     private byte[] last;
     private int commandBytes;
     private int ahead;
@@ -93,6 +105,7 @@
     @Override
     public final void read(ByteBuffer bytes) {
         if (deaf) {
+            dropped += bytes.remaining();
             return;
         }
         reads++;
@@ -118,8 +131,13 @@
                 partial = false;
             }
         } catch (ProtocolException e) {
+            // What came before it was whole, and is owed its answers as ever; only then comes the error.
+            deaf = true;
+            closing = true;
+            fault = e.getMessage();
+            framer.clear();
+            partialSince = NEVER;
             goOn();
-            broken(e.getMessage());
             return;
         }
         partialSince = framer.pending() == 0 ? NEVER : partial ? partialSince : front.loop.now();
@@ -148,6 +166,7 @@
 
     @Override
     public final void closed() {
+        left = true;
         front.closed();
         intake.end();
         front.loop.execute(() -> {
@@ -163,7 +182,11 @@
 
     /** Ends what has been waited for long enough: a start-up, the rest of a message, a client that does not read. */
     final void sweep(long now) {
-        if (ending ? now - endingSince > PATIENCE : writing > 0 && now - writingSince > WRITE_PATIENCE) {
+        if (lingers) {
+            if (now - endingSince > LINGER || dropped > MOST_LINGERED) {
+                close();
+            }
+        } else if (ending ? now - endingSince > PATIENCE : writing > 0 && now - writingSince > WRITE_PATIENCE) {
             cutOff(now);
         } else if (!ending && !heard && now - idleSince > PATIENCE) {
             broken("the connection was not started in time");
@@ -191,6 +214,11 @@
         return reads == 0;
     }
 
+    /** Whether it is closed once it has what it is owed. */
+    final boolean isLeaving() {
+        return closing;
+    }
+
     /** Whether it has asked for anything. */
     final boolean hasAsked() {
         return asked;
@@ -207,7 +235,7 @@
 
     /** Since when nothing has been open here, or never where something is. */
     final long idleSince() {
-        boolean open = closed || closing || exchange != null || writing > 0 || ending || framer.pending() > 0 || !commands.isEmpty();
+        boolean open = closed || closing || fault != null || exchange != null || writing > 0 || ending || framer.pending() > 0 || !commands.isEmpty();
         return open ? NEVER : idleSince;
     }
 
@@ -216,8 +244,7 @@
         closing = true;
         if (!closed && exchange == null && writing == 0 && framer.pending() == 0 && commands.isEmpty()) {
             if (deaf) {
-                // Nothing more is taken from it, so that there is nothing to look for.
-                close();
+                linger();
                 return;
             }
             // What was read and is still on its way here counts as heard: its request would be cut off after it was sent on.
@@ -226,6 +253,32 @@
         }
     }
 
+    /** Nothing more is taken or said: the client hears the end at once, and the connection is closed when it is silent too. */
+    private void linger() {
+        if (lingers) {
+            return;
+        }
+        lingers = true;
+        endingSince = front.loop.now();
+        ((NIOConnection) connection).executeInEventThread(IOEvent.READ, () -> {
+            SocketChannel channel = (SocketChannel) ((NIOConnection) connection).getChannel();
+            try {
+                channel.shutdownOutput();
+                if (!front.isCrowded()) {
+                    return;
+                }
+                // No descriptor is left for lingering: what has come by now is all that is read.
+                ByteBuffer unread = ByteBuffer.allocate(LAST_LOOK);
+                for (int n = 0; n < MOST_LINGERED && channel.read(unread) > 0; n += LAST_LOOK) {
+                    unread.clear();
+                }
+            } catch (IOException e) {
+                // It is broken, and closed here as well.
+            }
+            connection.closeSilently();
+        });
+    }
+
     /**
      * The last look, on the thread that reads: a request that lies unread in the socket, or came while the loop was on its
      * way here, would be reset by the close, so it is taken instead; its answer is followed by the next last look.
@@ -256,13 +309,16 @@
     /** The next command is looked at when the answer to the last is written out: what does not read, waits. */
     private void goOn() {
         try {
-            while (!closed && !ending && exchange == null && writing == 0 && !commands.isEmpty()) {
+            while (!closed && !left && !ending && exchange == null && writing == 0 && !commands.isEmpty()) {
                 byte[] message = commands.poll();
                 commandBytes -= message.length;
                 command(message);
                 heard = true;
                 idleSince = front.loop.now();
             }
+            if (fault != null && !closed && exchange == null && commands.isEmpty()) {
+                broken(fault);
+            }
         } catch (ProtocolException e) {
             broken(e.getMessage());
         }
@@ -310,6 +366,11 @@
                 goOn();
             }
 
+            @Override
+            public boolean isGone() {
+                return left;
+            }
+
             @Override
             public void part(byte[] bytes, Runnable taken) {
                 write(bytes, taken);
--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import mintstair.proxy.Dispatcher;
@@ -94,10 +95,12 @@
         counters.clientsOpened++;
         sessions.add(session);
         session.accepted(recorder);
+        // Those on their way out have made room already: counted again, they would take others with them.
+        long staying = sessions.stream().filter(each -> !each.isLeaving()).count();
         // Descriptors are few: past this many clients the hosts' connections would find none left.
-        if (sessions.size() > mostClients) {
+        if (staying > mostClients) {
             makeRoom(session);
-        } else if (sessions.size() > Math.max(FEW, mostClients * CROWDED)) {
+        } else if (staying > Math.max(FEW, mostClients * CROWDED)) {
             // Clients run short of connections of their own before the descriptors here do.
             letOneGo(session, IDLE, false);
             letIdlestGo();
@@ -140,6 +143,11 @@
             });
     }
 
+    /** Whether all connections that clients may have are taken; on any thread. */
+    boolean isCrowded() {
+        return open.get() > mostClients;
+    }
+
     /** How many connections beyond {@code mostClients} may be open while they are told that there is no room. */
     public static int slack(int mostClients) {
         return Math.max(8, mostClients / 8);
@@ -148,7 +156,8 @@
     /** There is no room: one that comes brings a request, while what is idle loses nothing. */
     private void makeRoom(ClientSession newest) {
         if (!letOneGo(newest, SHORTLY, true)) {
-            ClientSession mute = sessions.stream().filter(session -> session != newest && session.isMute()).findFirst().orElse(newest);
+            ClientSession mute = sessions.stream().filter(session -> session != newest && session.isMute() && !session.isLeaving())
+                .findFirst().orElse(newest);
             counters.clientsTurnedAway++;
             mute.turnAway();
         }
@@ -181,20 +190,23 @@
     }
 
     /**
-     * Listens no more. What the kernel has taken in for this listener is accepted first: closing resets it, though another
+     * Listens no more; the result is there, on the loop, when every connection that the kernel had taken in is a session or was
+     * turned away. What the kernel has taken in for this listener is accepted first: closing resets it, though another
      * process listens on the same address. So the channel leaves its selector, which would put the close off.
      */
-    public void stopListening() {
+    public CompletableFuture<Void> stopListening() {
         TCPNIOServerConnection ending = listener;
+        CompletableFuture<Void> ended = new CompletableFuture<>();
         ending.executeInEventThread(IOEvent.SERVER_ACCEPT, () -> {
             ending.getSelectionKey().cancel();
-            loop.execute(() -> drainAndClose(ending));
+            loop.execute(() -> drainAndClose(ending, ended));
         });
+        return ended;
     }
 
-    private void drainAndClose(TCPNIOServerConnection ending) {
+    private void drainAndClose(TCPNIOServerConnection ending, CompletableFuture<Void> ended) {
         if (ending.getChannel().isRegistered()) {
-            loop.at(loop.now() + DEREGISTERED, () -> drainAndClose(ending));
+            loop.at(loop.now() + DEREGISTERED, () -> drainAndClose(ending, ended));
             return;
         }
         try {
@@ -208,6 +220,8 @@
         }
         // Not on the event thread: the next listener's registration was seen to go unnoticed after that, for 10 s.
         ending.closeSilently();
+        // Behind the sessions that were accepted right now, which are on their way to the loop.
+        loop.execute(() -> ended.complete(null));
     }
 
     /** Lets every client go that has no request here. */
@@ -220,4 +234,9 @@
     public int clients() {
         return sessions.size();
     }
+
+    /** How many connections of clients are open, those that the loop has not come to included; on any thread. */
+    public int connections() {
+        return open.get();
+    }
 }
--- a/src/main/java/mintstair/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -82,10 +82,11 @@
         return clusters.contains(cluster);
     }
 
-    /** This proxy ends soon: what comes after {@code from} must have its answer at {@code by}. */
+    /** This proxy ends soon: what comes after {@code from} must have its answer at {@code by}, and so must all that is held then. */
     public void endsBy(long from, long by) {
         endsFrom = from;
         endsBy = by;
+        loop.at(by, () -> carryOut(router.end(loop.now())));
     }
 
     /** How long a request that comes now may be held, of the time that it would wait. */
@@ -256,6 +257,10 @@
     private void send(Directive.Send d) {
         Taken t = taken.get(d.request());
         long sentAt = loop.now();
+        if (t != null && !t.exchange.isWanted()) {
+            // It left while this thread was busy, or its leaving is still on its way here.
+            clientGone(t.exchange);
+        }
         if (t == null || t.exchange.isOver() || sentAt >= t.exchange.deadline()) {
             carryOut(router.report(sentAt, new News.AttemptEnd(d.request(), d.attempt(), d.host(),
                 ConnectionEnd.NEVER_SENT, 0, t == null || t.exchange.isOver(), Reply.of(null).note())));
@@ -271,6 +276,11 @@
                 attemptEnded(t, d, sentAt, reply);
             }
 
+            @Override
+            public boolean isWanted() {
+                return t.exchange.isWanted();
+            }
+
             @Override
             public void part(byte[] bytes, Runnable taken) {
                 attemptGives(t, d, sentAt, bytes, taken);
--- a/src/main/java/mintstair/proxy/Hosts.java
+++ b/src/main/java/mintstair/proxy/Hosts.java
@@ -11,6 +11,11 @@
         /** Its one ending. */
         void end(Reply reply);
 
+        /** Whether it is still to be sent; asked when a connection for it is there, right before it is written. */
+        default boolean isWanted() {
+            return true;
+        }
+
         /** A part of an answer too long to be held, in order, before the end; {@code taken} is run when it has gone on. */
         default void part(byte[] bytes, Runnable taken) {
             taken.run();
--- a/src/main/java/mintstair/request/Client.java
+++ b/src/main/java/mintstair/request/Client.java
@@ -10,6 +10,11 @@
         throw new UnsupportedOperationException("long answers");
     }
 
+    /** Whether it has closed its connection: nothing is to begin for it from then on. On any thread. */
+    default boolean isGone() {
+        return false;
+    }
+
     /** The answer of which parts went on cannot be finished, and the client must be able to tell. */
     default void cut() { }
 }
--- a/src/main/java/mintstair/request/Exchange.java
+++ b/src/main/java/mintstair/request/Exchange.java
@@ -37,6 +37,11 @@
         return over;
     }
 
+    /** Whether somebody still waits for the answer; a client's leaving shows here before the loop comes to hear of it. */
+    public boolean isWanted() {
+        return !over && !client.isGone();
+    }
+
     /** Gives the final answer; false, and nothing done, where there was one or the client has left. */
     public boolean answer(Answer answer) {
         if (over) {
--- /dev/null
+++ b/src/test/java/mintstair/serve/ConnectionEndsTest.java
@@ -0,0 +1,247 @@
+package mintstair.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import mintstair.backend.pg.PgProtocol;
+import mintstair.config.Env;
+import mintstair.config.Json;
+import mintstair.front.pg.PgFront;
+import mintstair.program.Program;
+import mintstair.proxy.Loop;
+import mintstair.request.HostList;
+import mintstair.standin.Client;
+import mintstair.standin.LateHost;
+import mintstair.standin.StandInHost;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.ConnectionProbe;
+import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Connections that end, on either side, at the moment in which something is still owed on them. */
+class ConnectionEndsTest {
+    private final Loop loop = new Loop();
+    private final TCPNIOTransport transport = Proxy.transport();
+    private final Set<Connection<?>> connections = ConcurrentHashMap.newKeySet();
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private LateHost host;
+    private Service service;
+    private int port;
+
+    @BeforeEach
+    void start() throws IOException {
+        transport.getConnectionMonitoringConfig().addProbes(new ConnectionProbe.Adapter() {
+            @Override
+            public void onAcceptEvent(Connection server, Connection client) {
+                connections.add(client);
+            }
+
+            @Override
+            public void onConnectEvent(Connection connection) {
+                connections.add(connection);
+            }
+        });
+        transport.start();
+        host = new LateHost();
+        open.add(host);
+        Env env = new Env((Map<?, ?>) Json.read(Program.SETTINGS.replace("PROBING", "false")
+            .replace("\"connectTimeoutS\":0.25", "\"connectTimeoutS\":20").getBytes(StandardCharsets.UTF_8)));
+        service = new Service(loop, transport, new PgProtocol(), 5, env, 1,
+            (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, 20));
+        service.begin(null, new HostList(1, true,
+            List.of(new HostList.Entry("p", "127.0.0.1:" + host.port(), "a", 1, HostList.State.SERVING, true, 1, 0))), false);
+        port = service.open(new InetSocketAddress("127.0.0.1", 0), null);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+        loop.close();
+        transport.shutdownNow();
+    }
+
+    private Client.Pg client() throws IOException {
+        Client.Pg client = new Client.Pg(port);
+        open.add(client);
+        return client;
+    }
+
+    private static byte[] write(String id) {
+        return Client.Pg.query(Client.Pg.words(true, "id=" + id + ",c=write,cluster=1", 15_000));
+    }
+
+    /**
+     * Guards against a close over unread bytes: its reset would take the answer that was just written with it. And against an error
+     * that drops the requests that came whole before it.
+     */
+    @Test
+    void clientThatGoesOnSendingHearsItsAnswerTheErrorAndAnOrderlyEnd() throws Exception {
+        for (int n = 0; n < 5; n++) {
+            Client.Pg client = client();
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            all.writeBytes(write("a" + n));
+            all.writeBytes(write("b" + n));
+            all.writeBytes(new byte[] {'@', 0, 0, 0, 4});
+            client.raw(all.toByteArray());
+            if (n == 0) {
+                host.accept();
+                host.greet(0);
+            }
+            assertTrue(host.statement(0).contains("id=a" + n + ","));
+            boolean[] stop = new boolean[1];
+            Thread sender = new Thread(() -> {
+                try {
+                    while (!stop[0]) {
+                        client.raw(new byte[20]);
+                    }
+                } catch (IOException e) {
+                    // The proxy does not read without end.
+                }
+            });
+            sender.start();
+            host.say(0, LateHost.answer("a" + n));
+            assertEquals("served a" + n, client.answer());
+            assertTrue(host.statement(0).contains("id=b" + n + ","), "what came whole before the garbage");
+            host.say(0, LateHost.answer("b" + n));
+            assertEquals("served b" + n, client.answer());
+            assertEquals("failed", client.answer());
+            assertEquals("08P01", client.code);
+            assertEquals(-1, client.in.read(), "an end, no reset");
+            stop[0] = true;
+            sender.join();
+        }
+    }
+
+    /** One that never stops sending, and never goes, does not keep its descriptor. */
+    @Test
+    void clientThatNeverStopsSendingIsClosedAllTheSame() throws Exception {
+        Client.Pg client = client();
+        client.raw(new byte[] {'@', 0, 0, 0, 4});
+        StandInHost.daemon(() -> {
+            try {
+                while (true) {
+                    client.raw(new byte[1024]);
+                }
+            } catch (IOException e) {
+                // It was closed.
+            }
+        });
+        Program.await(() -> service.front.connections() == 0, "its end");
+        Client.Pg silent = client();
+        silent.raw(new byte[] {'@', 0, 0, 0, 4});
+        assertEquals("failed", silent.answer());
+        Program.await(() -> service.front.connections() == 0, "the end of one that says nothing more and stays");
+    }
+
+    /** Guards against answers that the system holds back until the other side has spoken. */
+    @Test
+    void smallWritesAreNotHeldBackOnEitherSide() throws Exception {
+        Client.Pg client = client();
+        client.raw(write("one"));
+        host.accept();
+        host.greet(0);
+        host.statement(0);
+        Program.await(() -> connections.size() >= 2, "both sides");
+        for (Connection<?> connection : connections) {
+            SocketChannel channel = (SocketChannel) ((NIOConnection) connection).getChannel();
+            assertTrue(channel.getOption(StandardSocketOptions.TCP_NODELAY), connection.toString());
+        }
+    }
+
+    /** A host that ends in the middle of a line: a write may have run, is failed at once and not sent again. */
+    @Test
+    void halfALineFromAHostIsNoAnswer() throws Exception {
+        byte[] answer = LateHost.answer("half");
+        for (int n = 0; n < 4; n++) {
+            Client.Pg client = client();
+            client.raw(write("h" + n));
+            host.accept();
+            host.greet(n);
+            assertTrue(host.statement(n).contains("id=h" + n + ","));
+            host.say(n, Arrays.copyOf(answer, 1 + n * (answer.length / 5)));
+            host.end(n, n % 2 == 1);
+            assertEquals("failed", client.answer(), "after " + n + " fifths");
+        }
+        assertEquals(4, service.counters.sent);
+    }
+
+    /** An idle connection that its host closed, or reset, before the next request is not used for it. */
+    @Test
+    void requestIsNotWrittenOnAConnectionThatItsHostHasEnded() throws Exception {
+        Client.Pg client = client();
+        for (int n = 0; n < 4; n++) {
+            client.raw(write("i" + n));
+            host.accept();
+            host.greet(n);
+            assertTrue(host.statement(n).contains("id=i" + n + ","));
+            host.say(n, LateHost.answer("i" + n));
+            host.end(n, n % 2 == 1);
+            assertEquals("served i" + n, client.answer());
+        }
+        assertEquals(4, service.counters.sent);
+    }
+
+    /** A reset long after a request has ended, with nothing out on the connection, ends no other request. */
+    @Test
+    void resetAfterTheAnswerEndsNothing() throws Exception {
+        Client.Pg client = client();
+        client.raw(write("a"));
+        host.accept();
+        host.greet(0);
+        host.statement(0);
+        host.say(0, LateHost.answer("a"));
+        assertEquals("served a", client.answer());
+        client.raw(write("b"));
+        assertTrue(host.statement(0).contains("id=b,"), "the connection is kept");
+        host.say(0, LateHost.answer("b"));
+        assertEquals("served b", client.answer());
+        host.end(0, true);
+        client.raw(write("c"));
+        host.accept();
+        host.greet(1);
+        assertTrue(host.statement(1).contains("id=c,"));
+        host.say(1, LateHost.answer("c"));
+        assertEquals("served c", client.answer());
+    }
+
+    /** Read in the instant in which a front that ends lets its clients go: answered, on a resting connection and on a new one. */
+    @Test
+    void requestAtTheMomentOfTheEndIsAnsweredOrLeftUnread() throws Exception {
+        List<Client.Pg> resting = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            resting.add(client());
+        }
+        loop.execute(() -> service.front.stopListening());
+        loop.execute(() -> service.front.letGo());
+        int answered = 0;
+        for (int i = 0; i < 10; i++) {
+            try {
+                resting.get(i).raw(write("r" + i));
+                resting.get(i).socket.setSoTimeout(20_000);
+                if (resting.get(i).in.read() >= 0) {
+                    answered++;
+                }
+            } catch (IOException e) {
+                // It was not read: the client sends it again elsewhere.
+            }
+        }
+        assertEquals(answered, service.counters.taken, "what was read has its answer, nothing else was sent on");
+    }
+}
--- /dev/null
+++ b/src/test/java/mintstair/serve/GoneClientsTest.java
@@ -0,0 +1,236 @@
+package mintstair.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import mintstair.backend.pg.PgProtocol;
+import mintstair.config.Env;
+import mintstair.config.Json;
+import mintstair.front.pg.PgFront;
+import mintstair.program.Program;
+import mintstair.proxy.Loop;
+import mintstair.request.HostList;
+import mintstair.standin.Client;
+import mintstair.standin.LateHost;
+import mintstair.standin.PgHost;
+import mintstair.standin.StandInHost.Act;
+import mintstair.stats.Figures;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A client that has closed its connection: no attempt begins for it any more, at whatever stage its request is. */
+class GoneClientsTest {
+    private final Loop loop = new Loop();
+    private final TCPNIOTransport transport = Proxy.transport();
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Service service;
+    private int port;
+
+    @BeforeEach
+    void start() throws IOException {
+        transport.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+        loop.close();
+        transport.shutdownNow();
+    }
+
+    /** Where attempts may not be called off, so that nothing but the client's leaving keeps them back. */
+    private void serve(HostList.Entry... hosts) throws IOException {
+        String settings = Program.SETTINGS.replace("PROBING", "false").replace("\"cancelling\":true", "\"cancelling\":false")
+            .replace("\"connectTimeoutS\":0.25", "\"connectTimeoutS\":20");
+        Env env = new Env((Map<?, ?>) Json.read(settings.getBytes(StandardCharsets.UTF_8)));
+        service = new Service(loop, transport, new PgProtocol(), 5, env, 64,
+            (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, 600));
+        service.begin(null, new HostList(1, true, List.of(hosts)), false);
+        port = service.open(new InetSocketAddress("127.0.0.1", 0), null);
+    }
+
+    private static HostList.Entry host(String name, int port, boolean primary) {
+        return new HostList.Entry(name, "127.0.0.1:" + port, "a", 1, HostList.State.SERVING, primary, 1, 0);
+    }
+
+    private Client.Pg client() throws IOException {
+        Client.Pg client = new Client.Pg(port);
+        open.add(client);
+        return client;
+    }
+
+    private void awaitFigure(String name, long wanted) {
+        Program.await(() -> {
+            CompletableFuture<Long> value = new CompletableFuture<>();
+            loop.execute(() -> {
+                Figures.Sum sum = new Figures.Sum();
+                service.addTo(sum);
+                value.complete(sum.figures().value(name));
+            });
+            return value.join() == wanted;
+        }, name + "=" + wanted);
+    }
+
+    private LateHost lateHost() throws IOException {
+        LateHost host = new LateHost();
+        open.add(host);
+        return host;
+    }
+
+    /** Its connection comes up long after it has left; the next request is the first that the host sees. */
+    @Test
+    void attemptThatWaitsForAConnectionDoesNotBeginOnceItsClientHasLeft() throws IOException {
+        LateHost late = lateHost();
+        serve(host("late", late.port(), true));
+        Client.Pg gone = client();
+        gone.send(true, "id=gone,c=write,cluster=1", 15_000);
+        late.accept();
+        awaitFigure("in_flight", 1);
+        gone.close();
+        awaitFigure("in_flight", 0);
+        Client.Pg next = client();
+        next.send(true, "id=next,c=write,cluster=1", 15_000);
+        awaitFigure("in_flight", 1);
+        late.greet(0);
+        String first = late.statement(0);
+        assertTrue(first.contains("id=next,"), first);
+    }
+
+    /** A connection that comes up when its request's time is over brings the next request, not that one. */
+    @Test
+    void attemptThatWaitsForAConnectionDoesNotBeginOnceItsRequestIsOver() throws IOException {
+        LateHost late = lateHost();
+        serve(host("late", late.port(), true));
+        Client.Pg client = client();
+        client.send(true, "id=over,c=write,cluster=1", 200);
+        late.accept();
+        String answer = client.answer();
+        assertTrue(answer.startsWith("refused") || answer.equals("failed"), answer);
+        client.send(true, "id=next,c=write,cluster=1", 15_000);
+        awaitFigure("in_flight", 1);
+        late.greet(0);
+        assertTrue(late.statement(0).contains("id=next,"));
+    }
+
+    /** Hundreds that leave together while all of their requests wait: none of them begins. */
+    @Test
+    void burstOfClientsThatLeaveIsNotSentOn() throws IOException {
+        LateHost late = lateHost();
+        serve(host("late", late.port(), true));
+        List<Client.Pg> burst = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            burst.add(client());
+            burst.get(i).send(true, "id=gone" + i + ",c=write,cluster=1", 15_000);
+        }
+        awaitFigure("in_flight", 300);
+        late.accept();
+        for (Client.Pg client : burst) {
+            client.close();
+        }
+        awaitFigure("in_flight", 0);
+        Client.Pg next = client();
+        next.send(true, "id=next,c=write,cluster=1", 15_000);
+        awaitFigure("in_flight", 1);
+        late.greet(0);
+        String first = late.statement(0);
+        assertTrue(first.contains("id=next,"), first);
+        assertEquals(301, service.counters.taken);
+    }
+
+    /** Held as there is no primary: when one is listed, only those whose clients are still there are sent. */
+    @Test
+    void requestHeldForAPrimaryIsDroppedWithItsClient() throws IOException {
+        PgHost primary = new PgHost("p", true, 5);
+        open.add(primary);
+        serve(host("r", 9, false));
+        Client.Pg gone = client();
+        Client.Pg stays = client();
+        gone.send(true, "id=gone,c=write,cluster=1", 15_000);
+        stays.send(true, "id=stays,c=write,cluster=1", 15_000);
+        awaitFigure("in_flight", 2);
+        gone.close();
+        awaitFigure("in_flight", 1);
+        loop.execute(() -> service.listed(new HostList(2, true, List.of(host("p", primary.port(), true)))));
+        assertEquals("served stays", stays.answer());
+        assertEquals(List.of("stays"), List.copyOf(primary.seen));
+    }
+
+    /** It left while its first attempt was out; that fails as one that may be repeated, and is not. */
+    @Test
+    void furtherAttemptDoesNotBeginOnceItsClientHasLeft() throws IOException {
+        PgHost first = new PgHost("first", false, 5);
+        PgHost second = new PgHost("second", false, 5);
+        open.add(first);
+        open.add(second);
+        first.script.put("gone", Act.SILENT);
+        second.script.put("gone", Act.SILENT);
+        serve(host("first", first.port(), false), host("second", second.port(), false));
+        Client.Pg gone = client();
+        gone.send(false, "id=gone,c=any,cluster=1", 15_000);
+        Program.await(() -> first.seen.size() + second.seen.size() == 1, "the first attempt");
+        gone.close();
+        awaitFigure("in_flight", 0);
+        (first.seen.isEmpty() ? second : first).close();
+        Client.Pg next = client();
+        assertEquals("served next", next.ask(false, "id=next,c=any,cluster=1", 15_000));
+        assertEquals(1, first.seen.stream().filter("gone"::equals).count() + second.seen.stream().filter("gone"::equals).count());
+    }
+
+    /** The loop is busy when request and end of its connection arrive: what it does first must already know of the end. */
+    @Test
+    void clientThatLeftBeforeTheLoopCameToItsRequestIsNotSentOn() throws Exception {
+        PgHost primary = new PgHost("p", true, 5);
+        open.add(primary);
+        serve(host("p", primary.port(), true));
+        assertEquals("served before", client().ask(true, "id=before,c=write,cluster=1", 15_000));
+        Client.Pg gone = client();
+        CountDownLatch blocked = new CountDownLatch(1);
+        loop.execute(() -> {
+            try {
+                blocked.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        int clients = service.front.connections();
+        gone.send(true, "id=gone,c=write,cluster=1", 15_000);
+        gone.close();
+        Program.await(() -> service.front.connections() < clients, "the network thread to have seen the end");
+        blocked.countDown();
+        assertEquals("served next", client().ask(true, "id=next,c=write,cluster=1", 15_000));
+        assertEquals(2, service.counters.sent, "attempts");
+    }
+
+    /** Sends much at once and goes: what its first answer was waited for is the most that is begun. */
+    @Test
+    void clientThatSendsMuchAtOnceAndGoesIsForgotten() throws IOException {
+        PgHost primary = new PgHost("p", true, 5);
+        open.add(primary);
+        primary.script.put("m0", Act.SILENT);
+        serve(host("p", primary.port(), true));
+        Client.Pg gone = client();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 50; i++) {
+            all.append(new String(Client.Pg.query(Client.Pg.words(true, "id=m" + i + ",c=write,cluster=1", 15_000)),
+                StandardCharsets.ISO_8859_1));
+        }
+        gone.raw(all.toString().getBytes(StandardCharsets.ISO_8859_1));
+        Program.await(() -> primary.seen.contains("m0"), "the first of many");
+        gone.close();
+        awaitFigure("in_flight", 0);
+        assertEquals("served next", client().ask(true, "id=next,c=write,cluster=1", 15_000));
+        assertEquals(List.of("m0", "next"), List.copyOf(primary.seen));
+    }
+}
