--- a/src/test/java/mintstair/program/Program.java
+++ b/src/test/java/mintstair/program/Program.java
@@ -35,7 +35,12 @@
     private Path config;
 
     Program(String... arguments) throws IOException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        this(List.of(), arguments);
+    }
+
+    private Program(List<String> before, String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(before);
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("java.class.path"), "mintstair.Main"));
         command.addAll(List.of(arguments));
         process = new ProcessBuilder(command).redirectErrorStream(true).start();
@@ -68,6 +73,15 @@
         return program;
     }
 
+    /** A proxy with this configuration that may hold so many descriptors, and those that its class path takes here in place of one jar. */
+    static Program limited(int descriptors, String text) throws IOException {
+        Path config = Files.writeString(Files.createTempDirectory("mintstair").resolve("config.json"), text);
+        int most = descriptors + System.getProperty("java.class.path").split(":").length;
+        Program program = new Program(List.of("/bin/sh", "-c", "ulimit -n " + most + "; exec \"$@\"", "sh"), "serve", config.toString());
+        program.config = config;
+        return program;
+    }
+
     /** The i-th of so many proxies that know each other through a relay; its name is m and its number. */
     public static Program member(FaultRelay relay, int i, int proxies) throws IOException {
         String seeds = IntStream.range(0, 3).mapToObj(seed -> '"' + relay.advertise(seed) + '"').collect(Collectors.joining(","));
