--- a/src/test/java/mintstair/serve/LeaversTest.java
+++ b/src/test/java/mintstair/serve/LeaversTest.java
@@ -62,12 +62,16 @@
     }
 
     private Service service(int proxies, String discovery, String connectTimeout) throws IOException {
+        Env env = env(proxies, discovery, connectTimeout);
+        return new Service(loop, transport, new PgProtocol(), 5, env, 16,
+            (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, 16));
+    }
+
+    private static Env env(int proxies, String discovery, String connectTimeout) throws IOException {
         String settings = Program.SETTINGS.replace("PROBING", "false").replace("\"connectTimeoutS\":0.25",
             "\"connectTimeoutS\":" + connectTimeout).replace("automatic", discovery)
             .replace("\"balancers\":1,", "\"balancers\":" + proxies + ",");
-        Env env = new Env((Map<?, ?>) Json.read(settings.getBytes(StandardCharsets.UTF_8)));
-        return new Service(loop, transport, new PgProtocol(), 5, env, 16,
-            (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, 16));
+        return new Env((Map<?, ?>) Json.read(settings.getBytes(StandardCharsets.UTF_8)));
     }
 
     private static InetSocketAddress address(int port) {
@@ -226,6 +230,18 @@
         }
     }
 
+    /** Guards against a call that was made when a long silence was allowed for, once the settings allow for a short one. */
+    @Test
+    void callThatIsOutWhenSettingsChangeIsMissingByTheNewPace() throws IOException {
+        service = service(100, "subscribe", "0.25");
+        watch();
+        way.mute();
+        Env pushed = env(100, "automatic", "0.25");
+        loop.execute(() -> service.settings(pushed));
+        leaves("h7");
+        knownWithin(SILENCE_MILLIS / 2);
+    }
+
     /** Guards against waits, or sizes, that follow a number of proxies past what was tried before. */
     @Test
     void oneOfAThousandProxiesWithAThousandHostsLearnsItAsSoon() throws IOException {
