Bound an answer of discovery so that its growing buffer fits a heap of 64 MB

Seen by reading the change again: a body is held in a buffer that doubles, so that 16 MiB may take 48 MB at the moment of its growth, in a heap of 64 MB that has 12 in use. 4 MiB hold ten thousand hosts. AnswerEndsTest now asks that a service without end is cut off within 16 MiB.

--- a/src/main/java/mintstair/discovery/Watch.java
+++ b/src/main/java/mintstair/discovery/Watch.java
@@ -43,8 +43,11 @@
 public final class Watch {
     private static final int OK = 200;
     private static final int MOST_NAMED = 8;
-    /** A list of 1,024 hosts, indented, is a thirtieth of this; an answer without end must not fill the heap until it is given up. */
-    private static final int MOST_BYTES = 16 * 1024 * 1024;
+    /**
+     * A list of 1,024 hosts, indented, is a tenth of this; an answer without end must not fill the heap until it is given up, and the
+     * buffer that holds it is copied as it grows.
+     */
+    private static final int MOST_BYTES = 4 * 1024 * 1024;
 
     private final Loop loop;
     private final InetSocketAddress address;
--- a/src/test/java/mintstair/discovery/AnswerEndsTest.java
+++ b/src/test/java/mintstair/discovery/AnswerEndsTest.java
@@ -173,7 +173,7 @@
             }
         }, says(WITH_LENGTH + LIST));
         Program.await(() -> !told.isEmpty(), "the list");
-        assertTrue(written.get() < 64L * 1024 * 1024, written + " bytes");
+        assertTrue(written.get() < 16L * 1024 * 1024, written + " bytes");
     }
 
     /** A shared service that turns away, resets and is silent by turns: the list is known within 6 s of when it answers. */
