Force the lingering close in a test, and share the set-up of one service

docs/endings.md said that no test forces the close over unread bytes: a plain close passed as well. Cause, seen by holding up the network thread: the JDK ends a registered channel's output first and closes it when its selector comes to it, so that a client always reads the end before the reset; a test that looks only for an orderly end can't tell the two apart. What differs is what comes behind: after a plain close bytes that lie unread bring a reset ("Broken pipe" at the client's next write), by which a client on a real network may lose the words.

Change: bytesThatComeAroundTheLastWordsAreReadAndNotReset holds up the network thread while bytes come and the words go out, then the loop, whose clock ends the lingering, and wants all bytes before and behind the end to be read.

--- a/src/test/java/mintstair/serve/ConnectionEndsTest.java
+++ b/src/test/java/mintstair/serve/ConnectionEndsTest.java
@@ -1,47 +1,40 @@
 package mintstair.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import mintstair.backend.pg.PgProtocol;
-import mintstair.config.Env;
-import mintstair.config.Json;
-import mintstair.front.pg.PgFront;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
 import mintstair.program.Program;
-import mintstair.proxy.Loop;
-import mintstair.request.HostList;
 import mintstair.standin.Client;
 import mintstair.standin.LateHost;
 import mintstair.standin.StandInHost;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.ConnectionProbe;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.nio.NIOConnection;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Connections that end, on either side, at the moment in which something is still owed on them. */
-class ConnectionEndsTest {
-    private final Loop loop = new Loop();
-    private final TCPNIOTransport transport = Proxy.transport();
+class ConnectionEndsTest extends OneService {
     private final Set<Connection<?>> connections = ConcurrentHashMap.newKeySet();
-    private final List<AutoCloseable> open = new ArrayList<>();
+    private final AtomicLong bytesRead = new AtomicLong();
     private LateHost host;
-    private Service service;
-    private int port;
 
     @BeforeEach
     void start() throws IOException {
@@ -55,32 +48,15 @@
             public void onConnectEvent(Connection connection) {
                 connections.add(connection);
             }
+
+            @Override
+            public void onReadEvent(Connection connection, Buffer data, int size) {
+                bytesRead.addAndGet(size);
+            }
         });
-        transport.start();
         host = new LateHost();
         open.add(host);
-        Env env = new Env((Map<?, ?>) Json.read(Program.SETTINGS.replace("PROBING", "false")
-            .replace("\"connectTimeoutS\":0.25", "\"connectTimeoutS\":20").getBytes(StandardCharsets.UTF_8)));
-        service = new Service(loop, transport, new PgProtocol(), 5, env, 1,
-            (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, 20));
-        service.begin(null, new HostList(1, true,
-            List.of(new HostList.Entry("p", "127.0.0.1:" + host.port(), "a", 1, HostList.State.SERVING, true, 1, 0))), false);
-        port = service.open(new InetSocketAddress("127.0.0.1", 0), null);
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        for (AutoCloseable each : open) {
-            each.close();
-        }
-        loop.close();
-        transport.shutdownNow();
-    }
-
-    private Client.Pg client() throws IOException {
-        Client.Pg client = new Client.Pg(port);
-        open.add(client);
-        return client;
+        serve(true, 1, host("p", host.port(), true));
     }
 
     private static byte[] write(String id) {
@@ -129,6 +105,55 @@
         }
     }
 
+    /**
+     * Guards against a close over bytes that lie unread in the system: its reset overtakes the last words where a network loses a part of
+     * them. Here bytes come while the network thread is held up, the words go out meanwhile, and more bytes come behind the end.
+     */
+    @Test
+    void bytesThatComeAroundTheLastWordsAreReadAndNotReset() throws Exception {
+        Client.Pg client = client();
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        all.writeBytes(write("held"));
+        all.writeBytes(new byte[] {'@', 0, 0, 0, 4});
+        client.raw(all.toByteArray());
+        host.accept();
+        Program.await(() -> connections.size() >= 2, "both sides");
+        CountDownLatch network = new CountDownLatch(1);
+        hold(task -> ((NIOConnection) connections.iterator().next()).executeInEventThread(IOEvent.READ, task), network);
+        long before = bytesRead.get();
+        client.raw(new byte[20]);
+        loop.execute(() -> service.endsBy(loop.now(), loop.now()));
+        assertEquals("failed", client.answer(), "the request, which was on its way to its host");
+        assertNotEquals("08P01", client.code);
+        assertEquals('E', client.in.read(), "the last words");
+        String words = new String(client.in.readNBytes(client.in.readInt() - 4), StandardCharsets.UTF_8);
+        assertTrue(words.contains("08P01"), words);
+        // Whoever wrote the words has gone on by then, and asked for the end.
+        CompletableFuture.runAsync(() -> { }, loop::execute).join();
+        // The loop's clock stands still from here on: however slow the machine, nobody has lingered for long enough.
+        CountDownLatch looping = new CountDownLatch(1);
+        hold(loop::execute, looping);
+        network.countDown();
+        assertEquals(-1, client.in.read(), "the end");
+        client.raw(new byte[20]);
+        Program.await(() -> bytesRead.get() == before + 40, "what came before the end and behind it to be read");
+        looping.countDown();
+    }
+
+    /** Has a thread stand still until the latch is released; returns once it does. */
+    private static void hold(Executor thread, CountDownLatch until) throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        thread.execute(() -> {
+            held.countDown();
+            try {
+                until.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+    }
+
     /** One that never stops sending, and never goes, does not keep its descriptor. */
     @Test
     void clientThatNeverStopsSendingIsClosedAllTheSame() throws Exception {
--- a/src/test/java/mintstair/serve/GoneClientsTest.java
+++ b/src/test/java/mintstair/serve/GoneClientsTest.java
@@ -4,71 +4,25 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import mintstair.backend.pg.PgProtocol;
-import mintstair.config.Env;
-import mintstair.config.Json;
-import mintstair.front.pg.PgFront;
 import mintstair.program.Program;
-import mintstair.proxy.Loop;
 import mintstair.request.HostList;
 import mintstair.standin.Client;
 import mintstair.standin.LateHost;
 import mintstair.standin.PgHost;
 import mintstair.standin.StandInHost.Act;
 import mintstair.stats.Figures;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** A client that has closed its connection: no attempt begins for it any more, at whatever stage its request is. */
-class GoneClientsTest {
-    private final Loop loop = new Loop();
-    private final TCPNIOTransport transport = Proxy.transport();
-    private final List<AutoCloseable> open = new ArrayList<>();
-    private Service service;
-    private int port;
-
-    @BeforeEach
-    void start() throws IOException {
-        transport.start();
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        for (AutoCloseable each : open) {
-            each.close();
-        }
-        loop.close();
-        transport.shutdownNow();
-    }
-
+class GoneClientsTest extends OneService {
     /** Where attempts may not be called off, so that nothing but the client's leaving keeps them back. */
     private void serve(HostList.Entry... hosts) throws IOException {
-        String settings = Program.SETTINGS.replace("PROBING", "false").replace("\"cancelling\":true", "\"cancelling\":false")
-            .replace("\"connectTimeoutS\":0.25", "\"connectTimeoutS\":20");
-        Env env = new Env((Map<?, ?>) Json.read(settings.getBytes(StandardCharsets.UTF_8)));
-        service = new Service(loop, transport, new PgProtocol(), 5, env, 64,
-            (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, 600));
-        service.begin(null, new HostList(1, true, List.of(hosts)), false);
-        port = service.open(new InetSocketAddress("127.0.0.1", 0), null);
-    }
-
-    private static HostList.Entry host(String name, int port, boolean primary) {
-        return new HostList.Entry(name, "127.0.0.1:" + port, "a", 1, HostList.State.SERVING, primary, 1, 0);
-    }
-
-    private Client.Pg client() throws IOException {
-        Client.Pg client = new Client.Pg(port);
-        open.add(client);
-        return client;
+        serve(false, 64, hosts);
     }
 
     private void awaitFigure(String name, long wanted) {
--- /dev/null
+++ b/src/test/java/mintstair/serve/OneService.java
@@ -0,0 +1,63 @@
+package mintstair.serve;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import mintstair.backend.pg.PgProtocol;
+import mintstair.config.Env;
+import mintstair.config.Json;
+import mintstair.front.pg.PgFront;
+import mintstair.program.Program;
+import mintstair.proxy.Loop;
+import mintstair.request.HostList;
+import mintstair.standin.Client;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+
+/** One service in this process, whose loop and network thread a test may hold up; it waits 20 s for a connection to a host. */
+abstract class OneService {
+    final Loop loop = new Loop();
+    final TCPNIOTransport transport = Proxy.transport();
+    final List<AutoCloseable> open = new ArrayList<>();
+    Service service;
+    private int port;
+
+    @BeforeEach
+    void startTransport() throws IOException {
+        transport.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+        loop.close();
+        transport.shutdownNow();
+    }
+
+    /** Serves these hosts, over so many connections to them at most; attempts may be called off or not. */
+    final void serve(boolean cancelling, int mostHostConnections, HostList.Entry... hosts) throws IOException {
+        String settings = Program.SETTINGS.replace("PROBING", "false").replace("\"cancelling\":true", "\"cancelling\":" + cancelling)
+            .replace("\"connectTimeoutS\":0.25", "\"connectTimeoutS\":20");
+        Env env = new Env((Map<?, ?>) Json.read(settings.getBytes(StandardCharsets.UTF_8)));
+        service = new Service(loop, transport, new PgProtocol(), 5, env, mostHostConnections,
+            (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, 600));
+        service.begin(null, new HostList(1, true, List.of(hosts)), false);
+        port = service.open(new InetSocketAddress("127.0.0.1", 0), null);
+    }
+
+    static HostList.Entry host(String name, int port, boolean primary) {
+        return new HostList.Entry(name, "127.0.0.1:" + port, "a", 1, HostList.State.SERVING, primary, 1, 0);
+    }
+
+    final Client.Pg client() throws IOException {
+        Client.Pg client = new Client.Pg(port);
+        open.add(client);
+        return client;
+    }
+}
