--- a/src/test/java/mintstair/program/ShutdownTest.java
+++ b/src/test/java/mintstair/program/ShutdownTest.java
@@ -55,7 +55,7 @@
             .replaceAll("127.0.0.1:\\d+", "127.0.0.1:" + port);
     }
 
-    /** Requests that wait, connect, are half written, are sent, and are half answered; hosts hang; signals come again. */
+    /** Requests that wait, connect, are half written, are sent, are half answered, and lie between two attempts; hosts hang; signals come again. */
     @Test
     void requestInEachStateHasItsAnswerBeforeTheEnd() throws Exception {
         try (ServerSocket mute = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
@@ -66,10 +66,12 @@
             replica.script.put("read", Act.SILENT);
             primary.script.put("read", Act.SILENT);
             primary.script.put("half", Act.LONG_TORN);
+            primary.script.put("again", Act.FULL);
+            replica.script.put("again", Act.FULL);
             program = Program.serve(Program.config(discovery.port(), known, false).replace("\"deadlineS\":5", "\"deadlineS\":20"), null);
             int port = program.port(0);
             List<Client.Pg> clients = new ArrayList<>();
-            for (int i = 0; i < 7; i++) {
+            for (int i = 0; i < 8; i++) {
                 clients.add(new Client.Pg(port));
             }
             clients.get(0).send(true, "id=waits,c=write,cluster=2", 15_000);
@@ -77,9 +79,11 @@
             clients.get(2).send(true, "id=sent,c=write,cluster=1", 15_000);
             clients.get(3).send(false, "id=read,c=any,cluster=1", 15_000);
             clients.get(4).send(true, "id=half,c=write,cluster=1", 15_000);
+            clients.get(7).send(false, "id=again,c=any,cluster=1", 15_000);
             byte[] late = Client.Pg.query(Client.Pg.words(false, "id=late,c=any,cluster=1", 15_000));
             clients.get(5).raw(Arrays.copyOf(late, late.length / 2));
             assertEquals('T', clients.get(4).in.read(), "half an answer");
+            Program.await(() -> primary.seen.contains("again") && replica.seen.contains("again"), "an attempt at each host");
             Program.await(() -> primary.seen.contains("sent") && (replica.seen.contains("read") || primary.seen.contains("read")), "the sends");
             mute.accept();
             long told = System.nanoTime();
@@ -94,6 +98,7 @@
             assertRefused(clients.get(1));
             assertEquals("failed", clients.get(2).answer(), "it may have run");
             assertRefused(clients.get(3));
+            assertRefused(clients.get(7));
             long took = (System.nanoTime() - told) / 1_000_000;
             assertTrue(took < KILLED, "answers after " + took + " ms");
             primary.trail.release();
