--- a/src/test/java/mintstair/decision/Bed.java
+++ b/src/test/java/mintstair/decision/Bed.java
@@ -34,6 +34,9 @@
     long seed = 7;
     boolean oneSession = true;
     int maxAttempts = 6;
+    /** Of all classes, and for repeats of keyed writes, where not 0. */
+    long deadline;
+    long window;
     long now = 1_000_000_000L;
     SplitterApi.Router router;
 
@@ -49,6 +52,10 @@
             new RequestClass("u", Freshness.WRITE, Repeat.UNSAFE, RepeatScope.ALL, 0, 1000 * MS, 3000 * MS, 0, 4, 0.5),
             new RequestClass("k", Freshness.WRITE, Repeat.KEYED, RepeatScope.GROUP, 0, 750 * MS, 5000 * MS, 900 * MS, 4, 0.7),
             new RequestClass("a", Freshness.ANY, Repeat.SAFE, RepeatScope.ALL, 0, 250 * MS, 1000 * MS, 0, 3, 0));
+        if (deadline > 0) {
+            classes = classes.stream().map(c -> new RequestClass(c.name(), c.freshness(), c.repeat(), c.scope(), c.bound(),
+                Math.min(c.aim(), deadline), deadline, c.window() > 0 ? window : 0, c.worth(), c.lateWorth())).toList();
+        }
         return new Settings(routers, 0, "z", classes, List.of(new Tenant("t", 100)), 0.1, remembered, check, true,
             false, true, false, 0.01, 0, new Guards(250 * MS, 0.2, 10_000 * MS, 3, 2_000 * MS, goneIsAdvice),
             new Limits(maxAttempts, true, true, false, secondCopies, true, 500 * MS));
--- a/src/test/java/mintstair/decision/RulesTest.java
+++ b/src/test/java/mintstair/decision/RulesTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import mintstair.decision.SplitterApi.*;
@@ -114,6 +115,77 @@
         assertEquals(1, bed.failed.size());
     }
 
+    /** As short as settings may give: one answer each in time, nothing sent past it, no repeat past the window, none of an unsafe write. */
+    @Test
+    void shortestDeadlinesAndWindowsKeepTheRules() {
+        for (long deadline : new long[] {1, 5, 20, 60, 300}) {
+            for (long window : new long[] {1, 5, 50}) {
+                for (Ending end : new Ending[] {Ending.ERROR, Ending.RESET, Ending.FULL, Ending.TIMEOUT}) {
+                    shortTimes(deadline * MS, window * MS, end);
+                }
+            }
+        }
+    }
+
+    private static void shortTimes(long deadline, long window, Ending end) {
+        Bed bed = new Bed();
+        bed.deadline = deadline;
+        bed.window = window;
+        bed.start().group();
+        String what = deadline / MS + " ms, window " + window / MS + " ms, " + end;
+        long began = bed.now;
+        for (int kind = 0; kind < 5; kind++) {
+            bed.request(kind, kind, deadline, SplitterApi.UNKNOWN);
+        }
+        int[] told = new int[5];
+        for (int ended = 0; bed.now <= began + deadline + 5 * MS;) {
+            bed.now += MS;
+            for (; ended < bed.sends.size() && bed.now >= endOf(bed.sends.get(ended), end, began + deadline); ended++) {
+                Bed.Sent sent = bed.sends.get(ended);
+                bed.outcome(sent, told[(int) sent.id()]++, end);
+            }
+            bed.router.onTimer(bed.now, "tick");
+        }
+        List<Long> answers = new ArrayList<>(bed.refused);
+        answers.addAll(bed.failed);
+        assertEquals(List.of(0L, 1L, 2L, 3L, 4L), answers.stream().sorted().toList(), what);
+        assertTrue(bed.sends.stream().allMatch(s -> s.at() <= began + deadline && s.abandonAt() <= began + deadline), what + ": " + bed.sends);
+        if (end != Ending.FULL) {
+            assertTrue(bed.sendsOf(Bed.UNSAFE_WRITE).size() <= 1, what);
+            List<Bed.Sent> keyed = bed.sendsOf(Bed.KEYED_WRITE);
+            assertTrue(keyed.stream().allMatch(s -> s.at() <= keyed.get(0).at() + window), what + ": " + keyed);
+        }
+    }
+
+    /** An attempt that is not abandoned before is over with its request. */
+    private static long endOf(Bed.Sent sent, Ending end, long over) {
+        return end != Ending.TIMEOUT ? sent.at() + 2 * MS : sent.abandonAt() > 0 ? sent.abandonAt() : over;
+    }
+
+    /** It waits for its next attempt, for a second copy, or for a primary: whatever comes then, nothing begins for it. */
+    @Test
+    void nothingBeginsForAClientThatHasGone() {
+        Bed bed = new Bed().start().group();
+        bed.request(1, Bed.ANY);
+        Bed.Sent first = bed.last();
+        bed.request(2, Bed.ANY);
+        bed.now += 5 * MS;
+        bed.outcome(bed.last(), 0, Ending.FULL);
+        bed.state("p", HostState.GONE);
+        bed.request(3, Bed.UNSAFE_WRITE);
+        assertTrue(bed.sendsOf(3).isEmpty(), "there is no primary");
+        int before = bed.sends.size();
+        for (long id = 1; id <= 3; id++) {
+            bed.router.onHangUp(bed.now, id);
+        }
+        bed.pass(300 * MS);
+        bed.outcome(first, 0, Ending.ERROR);
+        bed.poll("r1", bed.now, Role.PRIMARY);
+        bed.pass(1_000 * MS);
+        assertEquals(before, bed.sends.size());
+        assertTrue(bed.refused.isEmpty() && bed.failed.isEmpty(), "nobody is there to be told");
+    }
+
     @Test
     void noSecondCopyWhereNoneIsAllowed() {
         Bed bed = new Bed();
