--- a/src/test/java/mintstair/serve/ConnectionEndsTest.java
+++ b/src/test/java/mintstair/serve/ConnectionEndsTest.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
 import mintstair.program.Program;
 import mintstair.standin.Client;
@@ -140,20 +139,6 @@
         looping.countDown();
     }
 
-    /** Has a thread stand still until the latch is released; returns once it does. */
-    private static void hold(Executor thread, CountDownLatch until) throws InterruptedException {
-        CountDownLatch held = new CountDownLatch(1);
-        thread.execute(() -> {
-            held.countDown();
-            try {
-                until.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        held.await();
-    }
-
     /** One that never stops sending, and never goes, does not keep its descriptor. */
     @Test
     void clientThatNeverStopsSendingIsClosedAllTheSame() throws Exception {
--- a/src/test/java/mintstair/serve/GoneClientsTest.java
+++ b/src/test/java/mintstair/serve/GoneClientsTest.java
@@ -151,13 +151,7 @@
         assertEquals("served before", client().ask(true, "id=before,c=write,cluster=1", 15_000));
         Client.Pg gone = client();
         CountDownLatch blocked = new CountDownLatch(1);
-        loop.execute(() -> {
-            try {
-                blocked.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
+        hold(loop::execute, blocked);
         int clients = service.front.connections();
         gone.send(true, "id=gone,c=write,cluster=1", 15_000);
         gone.close();
--- a/src/test/java/mintstair/serve/OneService.java
+++ b/src/test/java/mintstair/serve/OneService.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import mintstair.backend.pg.PgProtocol;
 import mintstair.config.Env;
 import mintstair.config.Json;
@@ -60,4 +62,18 @@
         open.add(client);
         return client;
     }
+
+    /** Has a thread stand still until the latch is released; returns once it does. */
+    static void hold(Executor thread, CountDownLatch until) throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        thread.execute(() -> {
+            held.countDown();
+            try {
+                until.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+    }
 }
