--- a/src/test/java/mintstair/serve/GoneClientsTest.java
+++ b/src/test/java/mintstair/serve/GoneClientsTest.java
@@ -43,6 +43,17 @@
         return host;
     }
 
+    /** Once nothing is held any more: of what comes up only now, the next request is the first that the host sees. */
+    private void awaitNextToBeFirst(LateHost late) throws IOException {
+        awaitFigure("in_flight", 0);
+        Client.Pg next = client();
+        next.send(true, "id=next,c=write,cluster=1", 15_000);
+        awaitFigure("in_flight", 1);
+        late.greet(0);
+        String first = late.statement(0);
+        assertTrue(first.contains("id=next,"), first);
+    }
+
     /** Its connection comes up long after it has left; the next request is the first that the host sees. */
     @Test
     void attemptThatWaitsForAConnectionDoesNotBeginOnceItsClientHasLeft() throws IOException {
@@ -53,13 +64,7 @@
         late.accept();
         awaitFigure("in_flight", 1);
         gone.close();
-        awaitFigure("in_flight", 0);
-        Client.Pg next = client();
-        next.send(true, "id=next,c=write,cluster=1", 15_000);
-        awaitFigure("in_flight", 1);
-        late.greet(0);
-        String first = late.statement(0);
-        assertTrue(first.contains("id=next,"), first);
+        awaitNextToBeFirst(late);
     }
 
     /** A connection that comes up when its request's time is over brings the next request, not that one. */
@@ -93,13 +98,7 @@
         for (Client.Pg client : burst) {
             client.close();
         }
-        awaitFigure("in_flight", 0);
-        Client.Pg next = client();
-        next.send(true, "id=next,c=write,cluster=1", 15_000);
-        awaitFigure("in_flight", 1);
-        late.greet(0);
-        String first = late.statement(0);
-        assertTrue(first.contains("id=next,"), first);
+        awaitNextToBeFirst(late);
         assertEquals(301, service.counters.taken);
     }
 
