--- a/src/test/java/mintstair/standin/LateHost.java
+++ b/src/test/java/mintstair/standin/LateHost.java
@@ -35,7 +35,17 @@
 
     /** Greets on the n-th. */
     public void greet(int n) throws IOException {
+        hear(n);
+        welcome(n);
+    }
+
+    /** Waits for the greeting of the other side on the n-th. */
+    public void hear(int n) throws IOException {
         ins.get(n).readNBytes(ins.get(n).readInt() - 4);
+    }
+
+    /** Answers that greeting. */
+    public void welcome(int n) throws IOException {
         say(n, new PgWriter().message('R', 0).ready().bytes());
     }
 
