Measure every span by a clock that nobody can set

Cause: Loop.now() was the wall clock held from going back. After a step back the time of the decisions stood still for the length of the step: the guard of the deadline armed itself again and again (SteppedClockTest: no answer in 20 s), and so did the tick, the watch's pace and the graces. After a step forward all that was open was over at once. Ruled out: the timers themselves, which run on a steady clock.

MonotonicClock starts at Unix time and counts on by the steady clock; it pairs both clocks closely, as a process that is held up between the two readings would be late for good. Loop, FleetMember and RegistryClient share it. WallClock is the only reader of the wall clock, by an ArchUnit rule. A task of the loop that fails with an Error was swallowed without a line; it is told and counted now.

--- a/src/main/java/mintstair/membership/FleetMember.java
+++ b/src/main/java/mintstair/membership/FleetMember.java
@@ -7,7 +7,6 @@
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
-import java.time.Instant;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -24,6 +23,7 @@
 import mintstair.membership.swim.Swim;
 import mintstair.membership.swim.SwimSettings;
 import mintstair.membership.swim.View;
+import mintstair.time.MonotonicClock;
 
 /** This proxy as a member of its fleet: one thread with one datagram socket and a listener at the same port. */
 public final class FleetMember implements AutoCloseable {
@@ -47,8 +47,7 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Thread thread;
     private final String address;
-    private final long startedWall;
-    private final long startedNanos = System.nanoTime();
+    private final MonotonicClock clock = new MonotonicClock();
     private volatile View view;
     private volatile View.Tally tally;
     private volatile boolean ends;
@@ -76,8 +75,6 @@
         datagrams.configureBlocking(false);
         datagrams.register(selector, SelectionKey.OP_READ);
         address = config.advertise() == null ? config.listen().getHostString() + ":" + bound.port : config.advertise();
-        Instant now = Instant.now();
-        startedWall = now.getEpochSecond() * 1_000_000 + now.getNano() / 1000;
         SwimSettings settings = SwimSettings.usual(size).withPeriod(config.period());
         swim = new Swim(now(), seed, name, address, config.seeds(), settings, new Out());
         view = swim.view();
@@ -136,7 +133,7 @@
 
     /** Unix microseconds at the start, and as many more as have passed: a clock that is set moves nothing. */
     private long now() {
-        return startedWall + (System.nanoTime() - startedNanos) / 1000;
+        return clock.getAsLong();
     }
 
     private void run() {
--- a/src/main/java/mintstair/proxy/Loop.java
+++ b/src/main/java/mintstair/proxy/Loop.java
@@ -1,27 +1,25 @@
 package mintstair.proxy;
 
-import java.time.Instant;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
+import mintstair.time.MonotonicClock;
 
 /** The one thread on which every decision is taken and every pool and session is kept. */
 public final class Loop implements AutoCloseable {
     private final ScheduledThreadPoolExecutor thread;
-    private long latest;
-
     private final LongSupplier clock;
+    private final AtomicLong failures = new AtomicLong();
+    private long latest;
 
-    /** A loop on the system's clock. */
+    /** A loop on a clock that nobody can set: Unix time at its start, and what has passed since. */
     public Loop() {
-        this(() -> {
-            Instant t = Instant.now();
-            return t.getEpochSecond() * 1_000_000 + t.getNano() / 1000;
-        });
+        this(new MonotonicClock());
     }
 
-    /** A loop on a clock that tells Unix microseconds. */
+    /** A loop on a clock that tells microseconds. */
     public Loop(LongSupplier clock) {
         this.clock = clock;
         thread = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "loop"));
@@ -30,26 +28,41 @@
         thread.setRejectedExecutionHandler((task, ended) -> { });
     }
 
-    /** Unix microseconds; a system clock that is set back stands still here. */
+    /** Microseconds on the loop's clock, which never goes back; on any thread. */
     public synchronized long now() {
         latest = Math.max(latest, clock.getAsLong());
         return latest;
     }
 
+    /** Runs the task behind those that are waiting; on any thread. */
     public void execute(Runnable task) {
         thread.execute(() -> run(task));
     }
 
-    /** Runs the task at this time, or soon where it has passed. */
+    /** Runs the task at this time, or soon where it has passed; on any thread. */
     public Future<?> at(long time, Runnable task) {
         return thread.schedule(() -> run(task), Math.max(0, time - now()), TimeUnit.MICROSECONDS);
     }
 
-    /** One task that goes wrong must not take all other clients' answers with it. */
-    private static void run(Runnable task) {
+    /** Runs the task again and again, so many microseconds after its last run, whatever became of that. */
+    public void every(long period, Runnable task) {
+        at(now() + period, () -> {
+            run(task);
+            every(period, task);
+        });
+    }
+
+    /** How many tasks failed with what nobody expected: faults of the program. */
+    public long failures() {
+        return failures.get();
+    }
+
+    /** One task that goes wrong must not take all other clients' answers with it, and must not go unseen. */
+    private void run(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
+            failures.incrementAndGet();
             System.err.println("unexpected: " + e);
             e.printStackTrace();
         }
--- a/src/main/java/mintstair/registry/RegistryClient.java
+++ b/src/main/java/mintstair/registry/RegistryClient.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Future;
@@ -25,6 +24,7 @@
 import mintstair.registry.view.Told;
 import mintstair.registry.view.ViewFigures;
 import mintstair.registry.view.WatchView;
+import mintstair.time.MonotonicClock;
 
 /**
  * Follows a registry on a thread of its own, "registry": events of the wire and the time go into the view, its orders to the
@@ -46,8 +46,7 @@
     private final Listener listener;
     private final SnapshotFile file;
     private final ScheduledThreadPoolExecutor thread;
-    private final long base;
-    private final long baseNanos = System.nanoTime();
+    private final MonotonicClock clock = new MonotonicClock();
     private Future<?> alarm;
     private long alarmAt = Long.MAX_VALUE;
     private volatile ViewFigures figures;
@@ -60,8 +59,6 @@
     public RegistryClient(RegistryConfig config, Times times, long seed, Listener listener) {
         this.config = config;
         this.listener = listener;
-        Instant begun = Instant.now();
-        base = begun.getEpochSecond() * 1_000_000 + begun.getNano() / 1000;
         Names names = new Names(config.prefix(), config.fronts());
         int endpoints = config.endpoints().size();
         boolean etcd = config.kind() == RegistryConfig.Kind.ETCD;
@@ -109,7 +106,7 @@
 
     /** Unix microseconds that never go back, whatever is done to the system's clock meanwhile. */
     private long now() {
-        return base + (System.nanoTime() - baseNanos) / 1000;
+        return clock.getAsLong();
     }
 
     private void guarded(Runnable task) {
--- a/src/main/java/mintstair/registry/RegistryCommand.java
+++ b/src/main/java/mintstair/registry/RegistryCommand.java
@@ -22,6 +22,7 @@
 import mintstair.registry.view.Told;
 import mintstair.registry.view.ViewFigures;
 import mintstair.request.HostList;
+import mintstair.time.WallClock;
 
 /** What operators do with a registry from the command line. Changes are made only to the entry that was read: a lost race is told. */
 public final class RegistryCommand {
@@ -216,7 +217,7 @@
             out.println("nothing is kept of an earlier run");
             return;
         }
-        long age = System.currentTimeMillis() - kept.heard() / 1000;
+        long age = Math.max(0, WallClock.millis() - kept.heard() / 1000);
         out.println("as kept: revision " + kept.revision() + ", " + kept.items().size() + " entries, age "
             + String.format(Locale.ROOT, "%.1f s", age / 1e3));
         kept.items().forEach(item -> out.println(item.key() + " at " + item.modified()));
--- a/src/main/java/mintstair/traffic/Replayer.java
+++ b/src/main/java/mintstair/traffic/Replayer.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import mintstair.pcap.Losses;
+import mintstair.time.WallClock;
 import mintstair.wire.PgWriter;
 import org.HdrHistogram.Histogram;
 
@@ -146,7 +147,7 @@
     /** Plays to the end; returns each request with what came of it, in the order of the answers. */
     public List<Played> play() throws IOException {
         begun = System.nanoTime();
-        begunMillis = System.currentTimeMillis();
+        begunMillis = WallClock.millis();
         while (!schedule.isOver()) {
             for (ReplaySchedule.Send send : schedule.due(now())) {
                 send(send);
--- a/src/main/java/mintstair/traffic/TrafficCommand.java
+++ b/src/main/java/mintstair/traffic/TrafficCommand.java
@@ -17,6 +17,7 @@
 import mintstair.config.ConfigException;
 import mintstair.config.NodeConfig;
 import mintstair.pcap.Losses;
+import mintstair.time.WallClock;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -256,7 +257,7 @@
             List<RecordedExchange> recorded = source.exchanges(losses);
             PrintWriter out = spec.commandLine().getOut();
             try (Replayer replayer = new Replayer(recorded, options, NodeConfig.address(to), protocol,
-                    Long.toHexString(System.currentTimeMillis()) + "x")) {
+                    Long.toHexString(WallClock.millis()) + "x")) {
                 return told(replayer, replayer.play(), losses, out);
             }
         }
--- a/src/test/java/mintstair/LayeringTest.java
+++ b/src/test/java/mintstair/LayeringTest.java
@@ -11,6 +11,7 @@
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.lang.ArchRule;
 import java.util.Set;
+import mintstair.time.WallClock;
 import org.junit.jupiter.api.Test;
 
 /** The core knows no wire, network code none of the module's events and actions, and modules without I/O are without it. */
@@ -38,6 +39,25 @@
             });
     }
 
+    /** Reading the wall clock, by which no span is measured. */
+    private static ArchRule wallClockOutside(Class<?>... readers) {
+        Set<String> calls = Set.of("java.lang.System.currentTimeMillis", "java.time.Instant.now", "java.time.Clock.systemUTC",
+            "java.util.Date.<init>", "java.time.ZonedDateTime.now", "java.time.LocalDateTime.now", "java.time.OffsetDateTime.now");
+        return noClasses().that().doNotBelongToAnyOf(readers).should().accessTargetWhere(
+            new DescribedPredicate<JavaAccess<?>>("reads the wall clock") {
+                @Override
+                public boolean test(JavaAccess<?> access) {
+                    return calls.contains(access.getTargetOwner().getFullName() + "." + access.getTarget().getName());
+                }
+            });
+    }
+
+    @Test
+    void onlyOneClassReadsTheWallClock() {
+        wallClockOutside(WallClock.class).check(PROGRAM);
+        assertThrows(AssertionError.class, () -> wallClockOutside(LayeringTest.class).check(PROGRAM), "the rule catches what it is for");
+    }
+
     @Test
     void coreKnowsNoWire() {
         uses(new String[] {"mintstair.decision..", "mintstair.request..", "mintstair.routing..", "mintstair.proxy.."},
