--- a/src/main/java/mintstair/adapter/Reply.java
+++ b/src/main/java/mintstair/adapter/Reply.java
@@ -16,7 +16,7 @@
     }
 
     @Override
-    public void send(long id, String host, long abandonAt) {
+    public void send(long id, String host, long abandonAt, long beginBy) {
         open("handOff").append(',').append(id);
         text(host);
         if (abandonAt > 0) {
--- a/src/main/java/mintstair/backend/Call.java
+++ b/src/main/java/mintstair/backend/Call.java
@@ -3,11 +3,14 @@
 import java.util.concurrent.Future;
 import java.util.function.LongFunction;
 import mintstair.proxy.Hosts;
+import mintstair.request.AttemptVerdict;
 import mintstair.request.ConnectionEnd;
 import mintstair.request.Reply;
 
 /** One attempt or probe on its way: it waits for a connection, is written, and ends exactly once. */
 final class Call implements Hosts.Sent {
+    private static final long MICROS_PER_MILLI = 1_000;
+
     final LongFunction<byte[]> words;
     final long writeBy;
     final long until;
@@ -37,9 +40,16 @@
         return flows;
     }
 
-    /** Whether somebody still waits for what it would bring. */
-    boolean isWanted() {
-        return listener.isWanted();
+    /** Whether it may begin now. */
+    AttemptVerdict mayBegin(long now) {
+        return listener.mayBegin(now);
+    }
+
+    /** What its host is told to work for at most, in milliseconds; it is written next. */
+    long begin(long now) {
+        long millis = Math.max(1, (until - now) / MICROS_PER_MILLI);
+        listener.begun(now, millis * MICROS_PER_MILLI);
+        return millis;
     }
 
     void part(byte[] bytes, Runnable taken) {
--- a/src/main/java/mintstair/backend/HostConnection.java
+++ b/src/main/java/mintstair/backend/HostConnection.java
@@ -125,7 +125,7 @@
         call = next;
         next.connection = this;
         written = false;
-        ask(next.words.apply(Math.max(1, (next.until - now) / 1000)), !next.probe);
+        ask(next.words.apply(next.begin(now)), !next.probe);
     }
 
     @SuppressWarnings({"unchecked", "rawtypes"})
--- a/src/main/java/mintstair/backend/HostPool.java
+++ b/src/main/java/mintstair/backend/HostPool.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import mintstair.request.AttemptVerdict;
 import mintstair.request.ConnectionEnd;
 import mintstair.request.HostList;
 import mintstair.request.Reply;
@@ -46,6 +47,10 @@
     }
 
     void listed(HostList.Entry entry) {
+        if (entry.state() == HostList.State.DELETED) {
+            gone();
+            return;
+        }
         int colon = entry.endpoint().lastIndexOf(':');
         InetSocketAddress now = new InetSocketAddress(entry.endpoint().substring(0, colon),
             Integer.parseInt(entry.endpoint().substring(colon + 1)));
@@ -139,12 +144,13 @@
             if (c.isClean()) {
                 Call next = waiting.pollFirst();
                 long now = backends.loop.now();
-                if (now > next.writeBy || !next.isWanted()) {
-                    // This thread itself may have stood still since the choice was made, or its client has left meanwhile.
+                AttemptVerdict verdict = next.mayBegin(now);
+                if (verdict == AttemptVerdict.MAY_BEGIN) {
+                    c.send(next, now);
+                } else {
+                    backends.counters.heldBack(verdict);
                     next.stop(ConnectionEnd.NEVER_SENT);
                     idle.addFirst(c);
-                } else {
-                    c.send(next, now);
                 }
             } else {
                 drop(c);
--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -31,22 +31,11 @@
     static final long WARY = 5_000_000; // after a sign of lost hosts those unheard for so long are asked
     static final long REPORT_AGE = 300_000; // of reports, until a primary's own have shown how old they come
     static final long LAG_KNOWN = 2_000_000; // a lag measured longer ago says nothing
-    static final long TOKEN_KEPT = 120_000_000; // far longer than a new host's copy is old or a lag lasts
     static final long MARGIN = 15_000; // kept free before a deadline so that an answer still counts
     static final long TOKEN_SLACK = 1_000; // rounding of a token's age on its way
     static final double READ_WAIT = 0.13, WRITE_WAIT = 0.8; // share of its aim that one waits for room
     static final double PRIMARY_READS = 0.6; // of the primary's room, for reads of little worth: writes stay
-    static final double FIRST_LIMIT = 16, FIRST_LIMIT_HERE = 2; // in flight at first, of all routers; of one
-    static final double LEAST_LIMIT = 2, LEAST_LIMIT_HERE = 0.02; // the fewest: enough to see a recovery
-    static final double LIMIT_UP = 0.02, LIMIT_DOWN = 0.03; // what a swift, a slow answer moves a limit by
-    static final double LIMIT_OVER_USE = 1; // a strained limit is first cut to this many times its use
-    static final double EVIDENCE_SPACING = 100_000; // answers further apart count more, up to tenfold
     static final double POOLED_HEARD = 0.2; // of what swift primaries say for one hardly asked
-    static final double POOLED = 5; // answers of one group that weigh as much as those of all groups
-    static final double FORGET = 10_000_000; // without answers, limits and their evidence fade in this time
-    static final double STRAIN_AIM = 0.45; // full: answers take this share of their aims; tails twice it
-    static final double NOT_IN_TIME = 1.5; // of its aim: an answer turned away, missing or as late
-    static final double SWIFT = 0.75; // swift: less than this share of that
     static final double OVERDUE = 0.7; // share of its aim after which an answer still out counts
     static final double LEAST_WORTH_ROOM = 0.8, OVER_SHARE_ROOM = 0.6; // of a limit: low worth, over share
     static final double SHARE_SAVED = 5; // requests a tenant may save up at least: fewer are chance
@@ -69,6 +58,9 @@
     static final double UNSENT_HELD = 0.45; // share of its client's time for which an unsent request is held
     static final double BASE_SHARE = 0.5; // of what all routers share, whatever they know of each other
     static final long MISS_REST = 100_000; // a host that turned a request away rests this long
+    static final long NO_POSITION = Long.MAX_VALUE / 4; // later than any position: no replica has it
+    // A bounded read's bound counts from its send: one that waited longer for a connection is decided anew.
+    static final long FRESH_FOR = 25_000; // less than the rules leave on sockets
 
     private Settings settings;
     private final SplitterApi.Actions actions;
@@ -76,10 +68,11 @@
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<Integer, Group> groups = new TreeMap<>();
     private final Map<Long, Open> open = new LinkedHashMap<>();
-    private final LinkedHashMap<String, Token> tokens = new LinkedHashMap<>();
+    private final SessionTokens tokens = new SessionTokens();
+    private final PositionClock positions = new PositionClock();
     private Kind[] kinds = {};
     private Share[] shares;
-    private final Limit allPrimaries, allReplicas;
+    private final ConcurrencyLimit allPrimaries, allReplicas;
     private long tightestBound = Long.MAX_VALUE;
     private double requestRate, spare = SPARE_FIRST, demand = DEMAND_FIRST, lossy, fallen;
     private long rateAt, wakeAt = Long.MAX_VALUE, awakeSince, alarmAt = RouterState.NEVER, lastSeen;
@@ -88,76 +81,13 @@
     private Fleet fleet;
     private double outThere, trustedThere, usualStretch, weights[] = new double[16];
 
-    /** A learned number of requests in flight, for a primary or for each replica of a group in the mean. */
-    static final class Limit {
-        final double kept;
-        final Limit pooled;
-        double routers, least, first, value, strain, swift, missing, evidence, used = 1;
-        long at;
-
-        /** {@code kept}: the fewest in flight that slow answers alone leave; 1 at a primary, for writes. */
-        Limit(double routers, Limit pooled, double kept) {
-            this.kept = kept;
-            this.pooled = pooled;
-            this.routers = routers;
-            of(routers);
-            value = first;
-        }
-
-        /** One of so many routers from now on, and its part as much smaller or larger. */
-        void of(double among) {
-            least = Math.max(LEAST_LIMIT_HERE, LEAST_LIMIT / among);
-            first = Math.max(FIRST_LIMIT_HERE, FIRST_LIMIT / among);
-            value = Math.max(least, value * routers / among);
-            routers = among;
-        }
-
-        /** Without answers a limit goes back to where it does not bind: no evidence, plain mechanism. */
-        private void forget(long now) {
-            double kept = Math.exp(-Math.max(0, now - at - EVIDENCE_SPACING) / FORGET);
-            evidence *= kept;
-            if (value < first) value = Math.min(first, value / kept);
-            at = Math.max(at, now);
-        }
-
-        /** An answer that took this share of its aim, or none: silence says as little as the answers do. */
-        void sample(long now, double ofAim, boolean answered, boolean full, double inFlight, double binding) {
-            double span = Math.max(1, Math.min(10, (now - at) / EVIDENCE_SPACING));
-            forget(now);
-            evidence++;
-            used += NEWEST * (inFlight + binding - used);
-            double newest = Math.min(0.4, NEWEST * span);
-            if (answered) swift += newest * (ofAim - swift);
-            // Answers that are missing while the rest is swift are lost, unless it is most that are missing.
-            missing += newest * ((answered ? 0 : 1) - missing);
-            double ofSwift = missing > 0.5 ? 1 : swift / STRAIN_AIM / SWIFT;
-            strain += newest * ((answered ? ofAim : NOT_IN_TIME * Math.min(1, ofSwift * ofSwift)) - strain);
-            // A limit far over its use does nothing: it starts to sink from where it begins to bind.
-            double down = value * (1 - LIMIT_DOWN * (full ? 10 : span));
-            // Slow answers that come leave a primary one in flight: below it a router that hears little
-            // holds back writes from a primary with none of its requests. Turned away or missing cut further.
-            double floor = ofAim < NOT_IN_TIME ? Math.max(least, Math.min(kept, value)) : least;
-            if (full) value = Math.max(least, down);
-            else if (strain > STRAIN_AIM) value = Math.max(floor, Math.min(down, LIMIT_OVER_USE * used));
-            else if (inFlight > 0.5 * value || value < first) value *= 1 + LIMIT_UP * span;
-            if (pooled != null) pooled.sample(now, ofAim, answered, false, inFlight, binding);
-        }
-
-        /** What this group's answers say, as far as there are enough of them, else those of all groups. */
-        double value(long now) {
-            forget(now);
-            if (pooled == null) return value;
-            return (evidence * value + POOLED * pooled.value(now)) / (evidence + POOLED);
-        }
-    }
-
     /** Starts a router that knows nothing yet; refuses settings that make no sense. */
     public ReadWriteSplitter(long now, long seed, Settings settings, SplitterApi.Actions actions) {
         this.actions = actions;
         random = new Random(seed);
         adopt(now, settings);
-        allPrimaries = new Limit(routers(), null, 1);
-        allReplicas = new Limit(routers(), null, 0);
+        allPrimaries = new ConcurrencyLimit(routers(), null, 1);
+        allReplicas = new ConcurrencyLimit(routers(), null, 0);
         rateAt = awakeSince = now;
         if (settings.subscribe()) actions.subscribe();
     }
@@ -166,12 +96,14 @@
         long now = clock(at);
         adopt(now, changed);
         // What was concluded by the former settings is concluded anew by these.
-        for (Limit all : List.of(allPrimaries, allReplicas)) all.of(routers());
-        for (Group g : groups.values()) g.eachReplica.of(routers());
+        for (ConcurrencyLimit all : List.of(allPrimaries, allReplicas)) all.shareAmong(routers());
+        for (Group g : groups.values()) g.eachReplica.shareAmong(routers());
         for (Host h : hosts.values()) {
-            h.asPrimary.of(routers());
-            long start = Math.max(h.warmFrom, h.listedStart);
-            if (start > 0 && !h.cold && now - start < settings.guards().warmAfter()) startCold(h, start);
+            h.asPrimary.shareAmong(routers());
+            long listed = h.listedStart > 0 ? now - positions.startedAgo(now, h.listedStart) : 0;
+            long start = Math.max(h.slowStart.since(), listed);
+            boolean cold = start > 0 && now - start < settings.guards().warmAfter();
+            if (cold && !h.slowStart.isActive()) startCold(h, start);
             if (h.doubted) gone(now, h);
         }
         actions.log("settings changed: " + kinds.length + " classes");
@@ -279,7 +211,7 @@
             if (h.group.primary == h) h.group.primary = null;
         }
         if (h == null || h.group != g) {
-            h = new Host(e.host(), e.zone(), g, new Limit(routers(), allPrimaries, 1));
+            h = new Host(e.host(), e.zone(), g, new ConcurrencyLimit(routers(), allPrimaries, 1));
             // Routers that were all told at once do not all ask at once.
             long apart = Math.min(POLL_EVERY / 2, (long) (routers() * POLL_APART));
             h.pollDue = now + (long) (random.nextDouble() * apart);
@@ -294,31 +226,45 @@
         if (e.state() == HostState.GONE) gone(now, h);
         if (e.lastStart() > h.listedStart) {
             h.listedStart = e.lastStart();
-            if (now - e.lastStart() < settings.guards().warmAfter()) startCold(h, e.lastStart());
+            judgeStart(now, h);
         }
         // The list's role is late: it only fills in where nothing better is known.
         if (settings.listTellsRole() && e.primary() && h.group.primary == null) claimPrimary(h, 0);
     }
 
+    /** Whether a host is in slow start by what the list tells of its start. */
+    private void judgeStart(long now, Host h) {
+        long ago = positions.startedAgo(now, h.listedStart);
+        if (ago < settings.guards().warmAfter()) {
+            h.slowStart.listed(now - ago);
+            logCold(h);
+        } else {
+            h.slowStart.listedAsWarm();
+        }
+    }
+
+    /** A primary told its position: where that shows the own clock wrong, start times are judged anew. */
+    private void primaryAt(long now, Group g, long position) {
+        if (position == SplitterApi.UNKNOWN || !positions.heardPrimary(g.number, now, position)) return;
+        long millis = positions.wrongBy() / 1000;
+        actions.log("clock: hosts' positions are " + millis + " ms ahead of this machine's clock");
+        for (Host h : hosts.values()) if (h.listedStart > 0) judgeStart(now, h);
+    }
+
     private void startCold(Host h, long since) {
-        h.cold = true;
-        h.warmFrom = since;
-        actions.log("cold " + h.name + ": ramp from its start");
+        h.slowStart.found(since);
+        logCold(h);
     }
 
+    private void logCold(Host h) { actions.log("cold " + h.name + ": ramp from its start"); }
+
     /** The share of its capacity that a host can be trusted with after its start. */
-    private double warmth(Host h, long now) {
-        if (!h.cold) return 1;
-        double from = settings.guards().coldShare();
-        double share = from + (1 - from) * (now - h.warmFrom) / Math.max(1, settings.guards().warmAfter());
-        h.cold = share < 1;
-        return Math.max(from, Math.min(1, share));
-    }
+    private double warmth(Host h, long now) { return h.slowStart.share(now, settings.guards()); }
 
     @Override public void onRequest(long at, Request r) {
         long now = clock(at);
         Kind kind = kinds[r.classIndex()];
-        double unstrained = Math.max(0, 1 - allReplicas.swift / STRAIN_AIM);
+        double unstrained = Math.max(0, 1 - allReplicas.answerTime() / ConcurrencyLimit.STRAIN_AIM);
         double more = SPARE_RATE + (SPARE_RATE_SWIFT - SPARE_RATE) * unstrained;
         spare = Math.min(Math.min(SPARE_MOST, SPARE_FIRST + rate(now)), spare + more);
         double polls = DEMAND_BUDGET / Math.max(1e-9, settings.probePrice());
@@ -346,8 +292,7 @@
         if (!settings.rememberedTokens()) {
             return r.tokenAge() == SplitterApi.UNKNOWN ? r.tokenAge() : now - r.tokenAge() + TOKEN_SLACK;
         }
-        Token t = r.session() == null ? null : tokens.get(r.session());
-        return t == null ? SplitterApi.UNKNOWN : t.position();
+        return tokens.positionOf(r.session());
     }
 
     /** Whether a tenant sends more here than this router's part of its share. */
@@ -379,7 +324,7 @@
 
     private Group groupOf(int number) {
         return groups.computeIfAbsent(number,
-            n -> new Group(n, new Limit(routers(), allReplicas, 0), REPORT_AGE));
+            n -> new Group(n, new ConcurrencyLimit(routers(), allReplicas, 0), REPORT_AGE));
     }
 
     private void send(long now, Open q, Host h) {
@@ -392,10 +337,19 @@
         accrue(now, h);
         h.inFlight++;
         long until = q.kind.of.lateWorth() == 0 && q.repeatable() ? q.arrived + q.kind.of.aim() : 0;
-        actions.send(q.request.id(), h.name, until < q.deadline ? until : 0);
+        actions.send(q.request.id(), h.name, until < q.deadline ? until : 0, beginBy(now, q));
         wake(now, stuckAt(q));
     }
 
+    /** Until when what a choice rests on holds: how recent a replica is, or that a repeat is dropped. */
+    private static long beginBy(long now, Open q) {
+        if (q.kind.of.freshness() == Freshness.BOUNDED) return now + FRESH_FOR;
+        return q.mayHaveRun && !q.repeatable() ? windowEnd(q) : Long.MAX_VALUE;
+    }
+
+    /** Hosts drop the repeats of a keyed request until then. */
+    private static long windowEnd(Open q) { return q.firstMayHaveRun + q.kind.of.window() - MARGIN; }
+
     /** The ordinary path: a random replica known to be recent enough, else the primary. */
     private Host choose(long now, Open q) {
         Group g = groupOf(q.request.group());
@@ -437,7 +391,9 @@
 
     /** The position that an attempt sent now must find; a bounded read's moves with each send. */
     private long need(long now, Open q) {
-        return q.kind.of.freshness() == Freshness.BOUNDED ? now - q.kind.of.bound() : q.token;
+        if (q.kind.of.freshness() != Freshness.BOUNDED) return q.token;
+        if (!positions.isKnown(q.request.group())) return NO_POSITION;
+        return positions.present(now) - q.kind.of.bound();
     }
 
     /** A random replica at or past {@code need}, or within {@code guess} of it and not shown to be behind. */
@@ -476,14 +432,14 @@
         }
         // A cold or silent host gets no more than its part when its warm peers are away: what all routers
         // together would send it in their stead pushes it over, or is lost.
-        boolean weak = last.silent || last.cold && warmth(last, now) < 1;
+        boolean weak = last.silent || last.slowStart.isActive() && warmth(last, now) < 1;
         return weak && q.luck >= sum / Math.max(1, ready) ? null : last;
     }
 
     /** A replica that may take this read: proven recent, or plausibly so where a guess is allowed. */
     private boolean isRecent(long now, Host h, Open q, long need, long guess, boolean sure) {
         boolean plausible = guess > 0 && now - h.missAt > MISS_REST
-            && (h.lag <= now - need + guess || now - h.toldAt > LAG_KNOWN);
+            && (h.lag <= positions.present(now) - need + guess || now - h.toldAt > LAG_KNOWN);
         return h.ready && h != h.group.primary && (plausible || h.position >= need)
             && (!sure || trusted(now, h)) && !q.isAt(h, q.attempts < 3);
     }
@@ -533,8 +489,9 @@
     private boolean canProve(long now, Host h, Open q, long need) {
         if (!h.ready || h == h.group.primary || h.pollOut || h.silent && h.lost > 0
                 || now - h.polledAt < DEMAND_WAIT || q.isAt(h, q.attempts < 3)) return false;
-        boolean behind = now - h.toldAt < LAG_KNOWN && h.lag > now - need + h.group.reportAge;
-        return need <= now - youngestReport && !behind;
+        long present = positions.present(now);
+        boolean behind = now - h.toldAt < LAG_KNOWN && h.lag > present - need + h.group.reportAge;
+        return need <= present - youngestReport && !behind;
     }
 
     private void ask(long now, Host h) {
@@ -543,11 +500,15 @@
         actions.probe(h.name);
     }
 
+    /** The own time at which the newest position of a group was the present. */
+    private long headAt(long now, Group g) { return positions.ownTime(g.number, now, g.head); }
+
     /** No write is risked on a primary unheard of for long; advancing replicas or an error show it lives. */
     private boolean mustConfirm(long now, Group g) {
         Host p = g.primary;
         if (!settings.limits().probing()) return false;
-        boolean lives = p != null && p.ready && !p.silent && Math.max(p.heardAt, g.head) > now - CONFIRM;
+        boolean heard = p != null && Math.max(p.heardAt, headAt(now, g)) > now - CONFIRM;
+        boolean lives = heard && p.ready && !p.silent;
         if (lives) g.seeks = 0;
         // In the end all routers together ask a host no oftener than one alone does at first.
         double wait = SEEK_EVERY * Math.min(1 << Math.min(10, g.seeks), Math.max(SEEK_FEW, routers()));
@@ -621,12 +582,12 @@
         double part = room(q) * (q.needsPrimary() ? 1 : reads) * warmth(p, now);
         // Reads that fall back in mass drown it: but for what its own answers speak for, their sum over all
         // routers stays in its room.
-        double others = allPrimaries.strain < STRAIN_AIM ? POOLED_HEARD * allPrimaries.evidence : 0;
-        double evidence = p.asPrimary.evidence + others;
-        double heardOf = evidence / (evidence + POOLED);
+        double others = !allPrimaries.isStrained() ? POOLED_HEARD * allPrimaries.evidence() : 0;
+        double evidence = p.asPrimary.evidence() + others;
+        double heardOf = evidence / (evidence + ConcurrencyLimit.POOLED);
         double fits = PRIMARY_READS / Math.max(1, g.members.size() - 1) / Math.max(g.fallen, fallen);
         if (!q.needsPrimary() && q.luck >= heardOf + (1 - heardOf) * fits) return null;
-        boolean cold = p.cold && q.luck >= warmth(p, now);
+        boolean cold = p.slowStart.isActive() && q.luck >= warmth(p, now);
         return !cold && p.inFlight + q.luck < p.asPrimary.value(now) * part ? p : null;
     }
 
@@ -652,12 +613,8 @@
         if (q.out == 0) open.remove(q.request.id());
     }
 
-    private static boolean neverRan(Ending e) {
-        return e == Ending.FULL || e == Ending.NO_ROUTE || e == Ending.MOOT || e == Ending.MISS;
-    }
-
     private void goOn(long now, Open q, Outcome o) {
-        if (!neverRan(o.ending())) {
+        if (!o.ending().neverRan()) {
             if (!q.mayHaveRun) q.firstMayHaveRun = q.sentAt[o.attempt()];
             q.mayHaveRun = true;
         }
@@ -676,7 +633,7 @@
         if (q.request.pinned() != null) return q.attempts == 0;
         if (!q.mayHaveRun || q.repeatable()) return true;
         return q.kind.of.repeat() == Repeat.KEYED && q.kind.of.scope() != RepeatScope.ZONE
-            && now < q.firstMayHaveRun + q.kind.of.window() - MARGIN;
+            && now < windowEnd(q);
     }
 
     /** A called-off attempt was paid for when it was called off. */
@@ -720,13 +677,18 @@
         long sent = q.sentAt[o.attempt()];
         boolean write = q.kind.of.freshness() == Freshness.WRITE;
         boolean told = o.position() != SplitterApi.UNKNOWN, checked = settings.readCheck() != ReadCheck.NONE;
-        if (told && o.role() == Role.REPLICA) rise(now, h, o.position(), now - o.position());
+        if (told && o.role() == Role.PRIMARY) primaryAt(now, h.group, o.position());
+        long lag = positions.present(now) - o.position();
+        if (told && o.role() == Role.REPLICA) rise(now, h, o.position(), lag);
         // A checked read that was served proves that its replica had come as far as was asked for.
-        else if (e == Ending.OK && checked && o.role() == Role.REPLICA) proven(h, need(sent, q));
+        else if (e == Ending.OK && checked && o.role() == Role.REPLICA && need(sent, q) < NO_POSITION) {
+            proven(h, need(sent, q));
+        }
         if (e == Ending.MISS && !write) h.missAt = now;
         if (e == Ending.FULL) h.fullAt = now;
         if (e == Ending.OK && write && q.request.session() != null && settings.rememberedTokens()) {
-            remember(now, q.request.session(), o.position());
+            long position = told ? o.position() : positions.present(now);
+            tokens.written(now, q.request.session(), position);
         }
         // What came while this router stood still tells nothing of the hosts.
         if (sent >= awakeSince || e != Ending.TIMEOUT && e != Ending.OK) measure(now, h, q, o, answered);
@@ -754,8 +716,8 @@
         // What was given up when hardly begun, as its request's time ran out, tells nothing of a host.
         boolean givenUp = e == Ending.TIMEOUT || e == Ending.CANCELLED && !q.finished;
         if (e == Ending.OK || e == Ending.FULL || givenUp && o.latency() >= OVERDUE * k.of.aim()) {
-            double ofAim = e == Ending.OK ? (double) o.latency() / k.of.aim() : NOT_IN_TIME;
-            strain(now, h, Math.min(NOT_IN_TIME, ofAim), answered, e == Ending.FULL);
+            double ofAim = e == Ending.OK ? (double) o.latency() / k.of.aim() : ConcurrencyLimit.NOT_IN_TIME;
+            strain(now, h, Math.min(ConcurrencyLimit.NOT_IN_TIME, ofAim), answered, e == Ending.FULL);
         }
     }
 
@@ -768,14 +730,6 @@
         }
     }
 
-    private void remember(long now, String session, long position) {
-        Token old = tokens.remove(session);
-        long at = position == SplitterApi.UNKNOWN ? now : position;
-        tokens.put(session, new Token(old == null ? at : Math.max(at, old.position()), now));
-        Iterator<Token> i = tokens.values().iterator();
-        while (i.hasNext() && now - i.next().at() > TOKEN_KEPT) i.remove();
-    }
-
     /** A host spoke: it is not silent, and if it was out of reach it is taken to have come back cold. */
     private void heard(long now, Host h, boolean served) {
         h.heardAt = now;
@@ -835,14 +789,18 @@
             if (Math.max(h.answeredAt, awakeSince) < h.polledAt) outOfReach(now, h);
         } else if (ending == Ending.OK && report != null) {
             heard(now, h, false);
-            long age = now - report.position();
+            if (report.role() == Role.PRIMARY) primaryAt(now, h.group, report.position());
+            long age = positions.present(now) - report.position();
+            long reportedAt = positions.ownTime(h.group.number, now, report.position());
             if (report.role() == Role.PRIMARY) {
                 // A primary stands at the present, so its position is the time of its report.
                 h.toldAt = now;
-                h.group.reportAge = Math.max(age, (long) (h.group.reportAge * 0.95));
-                claimPrimary(h, report.position());
+                if (report.position() != SplitterApi.UNKNOWN) {
+                    h.group.reportAge = Math.max(age, (long) (h.group.reportAge * 0.95));
+                }
+                claimPrimary(h, reportedAt);
             } else if (report.role() == Role.REPLICA && report.position() != SplitterApi.UNKNOWN) {
-                isReplica(h, Math.max(report.position(), now - latency - h.group.reportAge));
+                isReplica(h, Math.max(reportedAt, now - latency - h.group.reportAge));
                 rise(now, h, report.position(), age);
             }
         } else if (ending == Ending.RESET) {
@@ -924,7 +882,7 @@
     private void listen(long now, Host h, double patience) {
         accrue(now, h);
         // One long request is no silence, and a primary whose replicas still advance is slow, not lost.
-        boolean ships = h == h.group.primary && h.group.head > now - patience;
+        boolean ships = h == h.group.primary && headAt(now, h.group) > now - patience;
         boolean many = h.inFlight + h.unanswered >= SILENT_REQUESTS;
         long since = Math.max(h.answeredAt, awakeSince);
         boolean noAnswers = h.owed > SILENCE && many && !ships && now - since > patience;
@@ -952,8 +910,9 @@
 
     /** More answers are missing than the times of those that come explain: lost on the way, not overload. */
     private boolean losesAnswers() {
-        double swift = Math.max(0.05, allReplicas.swift);
-        return swift < SWIFT * STRAIN_AIM && lossy > LOSSY + Math.exp(-1 / swift);
+        double swift = Math.max(0.05, allReplicas.answerTime());
+        boolean isSwift = swift < ConcurrencyLimit.SWIFT * ConcurrencyLimit.STRAIN_AIM;
+        return isSwift && lossy > LOSSY + Math.exp(-1 / swift);
     }
 
     /** Moves a repeatable request off a host: by a second copy, or by calling the first one off. */
--- a/src/main/java/mintstair/decision/RouterState.java
+++ b/src/main/java/mintstair/decision/RouterState.java
@@ -15,17 +15,15 @@
     /** A time before all others. */
     static final long NEVER = Long.MIN_VALUE / 4;
 
-    /** A session's last write, and when it was heard of. */
-    record Token(long position, long at) { }
-
     /** What is known of one host. */
     static final class Host {
         final String name;
         final String zone;
         final Group group;
-        final ReadWriteSplitter.Limit asPrimary;
-        boolean ready, drains, doubted, cold, silent, pollOut;
-        long warmFrom, listedStart, pollDue, goneAt;
+        final ConcurrencyLimit asPrimary;
+        final SlowStart slowStart = new SlowStart();
+        boolean ready, drains, doubted, silent, pollOut;
+        long listedStart, pollDue, goneAt;
         long position = SplitterApi.UNKNOWN;
         long lag = Long.MAX_VALUE;
         long toldAt, replicaAt, answeredAt, accruedAt, fadedAt;
@@ -33,7 +31,7 @@
         int inFlight, lost, unanswered;
         double stretch = 1, failing, owed, seen;
 
-        Host(String name, String zone, Group group, ReadWriteSplitter.Limit asPrimary) {
+        Host(String name, String zone, Group group, ConcurrencyLimit asPrimary) {
             this.name = name;
             this.zone = zone;
             this.group = group;
@@ -46,14 +44,14 @@
         final int number;
         final List<Host> members = new ArrayList<>();
         final ArrayDeque<Open> waiting = new ArrayDeque<>();
-        final ReadWriteSplitter.Limit eachReplica;
+        final ConcurrencyLimit eachReplica;
         Host primary;
         long primaryAt = SplitterApi.UNKNOWN;
         long head, soughtAt = NEVER, reportAge;
         int seeks;
         double fallen;
 
-        Group(int number, ReadWriteSplitter.Limit eachReplica, long reportAge) {
+        Group(int number, ConcurrencyLimit eachReplica, long reportAge) {
             this.number = number;
             this.eachReplica = eachReplica;
             this.reportAge = reportAge;
--- /dev/null
+++ b/src/main/java/mintstair/decision/SlowStart.java
@@ -0,0 +1,56 @@
+package mintstair.decision;
+
+import mintstair.decision.SplitterApi.Guards;
+
+/**
+ * The slow start of one host: since when it has been warming up, and what share of its capacity it can be trusted with. Times are
+ * microseconds on the router's own clock. Not safe for use by several threads.
+ */
+final class SlowStart {
+    private boolean active;
+    /** Whether it rests on the start that the list tells, and not on what this router found. */
+    private boolean fromList;
+    private long since;
+
+    /** The host came back at this time, by what this router found. */
+    void found(long at) {
+        begin(at, false);
+    }
+
+    /** The list tells that the host started at this time. */
+    void listed(long at) {
+        begin(at, true);
+    }
+
+    private void begin(long at, boolean byList) {
+        active = true;
+        fromList = byList;
+        since = at;
+    }
+
+    /** The list tells of a start that is too long ago to matter. */
+    void listedAsWarm() {
+        active &= !fromList;
+    }
+
+    /** Whether it is warming up, as far as was looked at. */
+    boolean isActive() {
+        return active;
+    }
+
+    /** When it began last; 0 where it never did. */
+    long since() {
+        return since;
+    }
+
+    /** The share of its capacity that the host can be trusted with now. */
+    double share(long now, Guards guards) {
+        if (!active) {
+            return 1;
+        }
+        double cold = guards.coldShare();
+        double share = cold + (1 - cold) * (now - since) / Math.max(1, guards.warmAfter());
+        active = share < 1;
+        return Math.max(cold, Math.min(1, share));
+    }
+}
--- a/src/main/java/mintstair/decision/SplitterApi.java
+++ b/src/main/java/mintstair/decision/SplitterApi.java
@@ -26,7 +26,14 @@
     public enum ReadCheck { NONE, REFUSE, WAIT }
 
     /** How an attempt ended. */
-    public enum Ending { OK, ERROR, FULL, TIMEOUT, NO_ROUTE, RESET, CANCELLED, MOOT, MISS }
+    public enum Ending {
+        OK, ERROR, FULL, TIMEOUT, NO_ROUTE, RESET, CANCELLED, MOOT, MISS;
+
+        /** Whether it is certain that the host did nothing for it. */
+        public boolean neverRan() {
+            return this == FULL || this == NO_ROUTE || this == MOOT || this == MISS;
+        }
+    }
 
     /** What an answer told of its host's role. */
     public enum Role { UNTOLD, PRIMARY, REPLICA }
@@ -126,8 +133,11 @@
 
     /** The actions. */
     public interface Actions {
-        /** Starts an attempt, given up at {@code abandonAt} (0: when the client does). */
-        void send(long id, String host, long abandonAt);
+        /**
+         * Starts an attempt, given up at {@code abandonAt} (0: when the client does), and not begun later
+         * than {@code beginBy}, until when what it rests on holds ({@link Long#MAX_VALUE}: for ever).
+         */
+        void send(long id, String host, long abandonAt, long beginBy);
 
         /** Stops waiting for one attempt. */
         void cancel(long id, int attempt);
--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -43,10 +43,13 @@
     private static final long LINGER = 250_000;
     private static final int MOST_LINGERED = 256 * 1024;
 
+    /** One whole message, and when its last byte was read. */
+    private record Command(byte[] message, long readAt) { }
+
     private final Front front;
     private final Connection<?> connection;
     private final Framer framer;
-    private final ArrayDeque<byte[]> commands = new ArrayDeque<>();
+    private final ArrayDeque<Command> commands = new ArrayDeque<>();
     private final Intake intake;
     private volatile boolean deaf;
     /** Set by the thread that sees the end of the connection: the loop may come to it late. */
@@ -71,6 +74,9 @@
     private long endingSince;
     private long writingSince;
     private long idleSince;
+    /** When the last answer was written out, and since when the client's time for the command at hand runs. */
+    private long answeredAt;
+    private long turnSince;
     private Exchange exchange;
     private Recorder.Conversation record = Recorder.Conversation.NONE;
 
@@ -110,23 +116,25 @@
         }
         reads++;
         int n = bytes.remaining();
+        // The loop may come to it late, and the client's time runs meanwhile.
+        long readAt = front.loop.now();
         intake.read(n);
         front.loop.execute(() -> {
             looked++;
             record.said(true, bytes.array());
             if (!closed && !ending) {
-                take(bytes);
+                take(bytes, readAt);
             }
             intake.used(n);
         });
     }
 
-    private void take(ByteBuffer bytes) {
+    private void take(ByteBuffer bytes, long readAt) {
         boolean partial = framer.pending() > 0;
         framer.feed(bytes);
         try {
             for (byte[] m = framer.next(); m != null; m = framer.next()) {
-                commands.add(m);
+                commands.add(new Command(m, readAt));
                 commandBytes += m.length;
                 partial = false;
             }
@@ -239,6 +247,13 @@
         return open ? NEVER : idleSince;
     }
 
+    /** Ends with its last words what waits for the rest of a message, where no request is held. */
+    final void endUnfinished() {
+        if (!closed && exchange == null && commands.isEmpty() && framer.pending() > 0) {
+            end(lastWords("this proxy is ending, and the message was not finished"));
+        }
+    }
+
     /** Closes now, where no request is held, else after its answer. */
     final void drain() {
         closing = true;
@@ -310,9 +325,11 @@
     private void goOn() {
         try {
             while (!closed && !left && !ending && exchange == null && writing == 0 && !commands.isEmpty()) {
-                byte[] message = commands.poll();
-                commandBytes -= message.length;
-                command(message);
+                Command next = commands.poll();
+                commandBytes -= next.message.length;
+                // The time that a command spent behind those before it is not its own.
+                turnSince = Math.max(next.readAt, answeredAt);
+                command(next.message);
                 heard = true;
                 idleSince = front.loop.now();
             }
@@ -357,7 +374,8 @@
     protected final void submit(ProxyRequest request, Consumer<Answer> answer) {
         asked = true;
         boolean[] answered = new boolean[1];
-        Exchange submitted = front.dispatcher.submit(request, new Client() {
+        long waited = Math.max(0, front.loop.now() - turnSince);
+        Exchange submitted = front.dispatcher.submit(request, waited, new Client() {
             @Override
             public void answer(Answer a) {
                 answered[0] = true;
@@ -422,6 +440,7 @@
         writing--;
         idleSince = front.loop.now();
         writingSince = idleSince;
+        answeredAt = idleSince;
         goOn();
         finish();
     }
--- a/src/main/java/mintstair/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -10,10 +10,12 @@
 import java.util.function.Consumer;
 import mintstair.config.Env;
 import mintstair.request.Answer;
+import mintstair.request.AttemptVerdict;
 import mintstair.request.Client;
 import mintstair.request.ConnectionEnd;
 import mintstair.request.Exchange;
 import mintstair.request.HostList;
+import mintstair.request.Note;
 import mintstair.request.ProxyRequest;
 import mintstair.request.Reply;
 import mintstair.request.Statement;
@@ -108,9 +110,14 @@
         }
     }
 
-    /** Takes a request in; {@code client} gets its one final answer unless the exchange is abandoned. */
-    public Exchange submit(ProxyRequest request, Client client) {
+    /**
+     * Takes a request in; {@code client} gets its one final answer unless the exchange is abandoned.
+     *
+     * @param waited how many microseconds of its client's time have passed since it was read
+     */
+    public Exchange submit(ProxyRequest read, long waited, Client client) {
         long now = loop.now();
+        ProxyRequest request = read.after(waited);
         Taken t = new Taken(new Exchange(++numbers, request, now, client));
         taken.put(numbers, t);
         openIds.add(request.id());
@@ -249,6 +256,11 @@
             counters.probes++;
             hosts.probe(d.host(), reply -> carryOut(router.report(loop.now(),
                 new News.ProbeEnd(d.host(), reply.end(), loop.now() - sentAt, reply.note()))));
+        } else if (directive instanceof Directive.RuleBroken d) {
+            counters.ruleBroken(d.rule());
+            Taken t = taken.get(d.request());
+            log.accept("rule broken: " + d.rule() + " request=" + d.request() + " id=" + (t == null ? "?" : t.exchange.request().id())
+                + " host=" + d.host());
         } else if (directive instanceof Directive.Log d) {
             log.accept("router: " + d.text());
         }
@@ -261,12 +273,17 @@
             // It left while this thread was busy, or its leaving is still on its way here.
             clientGone(t.exchange);
         }
-        if (t == null || t.exchange.isOver() || sentAt >= t.exchange.deadline()) {
-            carryOut(router.report(sentAt, new News.AttemptEnd(d.request(), d.attempt(), d.host(),
-                ConnectionEnd.NEVER_SENT, 0, t == null || t.exchange.isOver(), Reply.of(null).note())));
+        if (t == null) {
+            neverSent(sentAt, d, true);
             return;
         }
         long until = d.until() == 0 ? t.exchange.deadline() : Math.min(d.until(), t.exchange.deadline());
+        AttemptVerdict verdict = router.mayBegin(sentAt, d, t.exchange, until);
+        if (verdict != AttemptVerdict.MAY_BEGIN) {
+            counters.heldBack(verdict);
+            neverSent(sentAt, d, t.exchange.isOver());
+            return;
+        }
         counters.sent++;
         boolean[] ended = new boolean[1];
         Hosts.Sent sent = hosts.send(d.host(), t.exchange.request().statement(), d.writeBy(), until, new Hosts.Receiver() {
@@ -277,8 +294,13 @@
             }
 
             @Override
-            public boolean isWanted() {
-                return t.exchange.isWanted();
+            public AttemptVerdict mayBegin(long now) {
+                return router.mayBegin(now, d, t.exchange, until);
+            }
+
+            @Override
+            public void begun(long now, long wait) {
+                carryOut(router.begun(now, d, wait));
             }
 
             @Override
@@ -291,12 +313,18 @@
         }
     }
 
+    private void neverSent(long now, Directive.Send d, boolean over) {
+        carryOut(router.report(now, new News.AttemptEnd(d.request(), d.attempt(), d.host(), ConnectionEnd.NEVER_SENT, 0, over,
+            Note.NONE)));
+    }
+
     /** A long answer goes on as it comes. With its first bytes it is the only one, and no deadline counts any more. */
     private void attemptGives(Taken t, Directive.Send d, long sentAt, byte[] bytes, Runnable taken) {
         Hosts.Sent sent = t.out.get(d.attempt());
         if (t.flows == null && !t.exchange.isOver()) {
             t.flows = sent;
             t.guard.cancel(false);
+            carryOut(router.answered(loop.now(), d.request()));
             // Its host has done the work: how long the client takes to read says nothing of hosts, and keeps none busy.
             carryOut(router.report(loop.now(), new News.AttemptEnd(d.request(), d.attempt(), d.host(), ConnectionEnd.SERVED,
                 loop.now() - sentAt, true, Reply.of(null).note())));
@@ -333,6 +361,9 @@
     private void answer(Taken t, Answer answer) {
         if (t.exchange.answer(answer)) {
             counters.answered(t.exchange.request().requestClass(), answer);
+            if (t.flows == null) {
+                carryOut(router.answered(loop.now(), t.exchange.number()));
+            }
         }
         over(t);
     }
--- a/src/main/java/mintstair/proxy/Hosts.java
+++ b/src/main/java/mintstair/proxy/Hosts.java
@@ -1,5 +1,6 @@
 package mintstair.proxy;
 
+import mintstair.request.AttemptVerdict;
 import mintstair.request.HostList;
 import mintstair.request.Reply;
 import mintstair.request.Statement;
@@ -11,11 +12,14 @@
         /** Its one ending. */
         void end(Reply reply);
 
-        /** Whether it is still to be sent; asked when a connection for it is there, right before it is written. */
-        default boolean isWanted() {
-            return true;
+        /** Whether it may begin now; asked when a connection for it is there, right before it is written. */
+        default AttemptVerdict mayBegin(long now) {
+            return AttemptVerdict.MAY_BEGIN;
         }
 
+        /** It is about to be written, and its host is told to work for so many microseconds at most. */
+        default void begun(long now, long wait) { }
+
         /** A part of an answer too long to be held, in order, before the end; {@code taken} is run when it has gone on. */
         default void part(byte[] bytes, Runnable taken) {
             taken.run();
--- a/src/main/java/mintstair/routing/Directive.java
+++ b/src/main/java/mintstair/routing/Directive.java
@@ -20,6 +20,9 @@
     /** Ask a host for its report. */
     record Probe(String host) implements Directive { }
 
+    /** Count and tell of a rule that was found broken; the host is empty where none is concerned. */
+    record RuleBroken(String rule, long request, String host) implements Directive { }
+
     /** A line for the people on call. */
     record Log(String text) implements Directive { }
 }
--- a/src/main/java/mintstair/routing/RequestRouter.java
+++ b/src/main/java/mintstair/routing/RequestRouter.java
@@ -2,9 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
+import mintstair.decision.AttemptRules;
+import mintstair.decision.InvariantMonitor;
 import mintstair.decision.ReadWriteSplitter;
 import mintstair.decision.SplitterApi;
 import mintstair.decision.SplitterApi.Ending;
@@ -18,7 +23,9 @@
 import mintstair.decision.SplitterApi.RequestClass;
 import mintstair.decision.SplitterApi.Role;
 import mintstair.config.Env;
+import mintstair.request.AttemptVerdict;
 import mintstair.request.ConnectionEnd;
+import mintstair.request.Exchange;
 import mintstair.request.HostList;
 import mintstair.request.HostRole;
 import mintstair.request.Note;
@@ -33,25 +40,16 @@
 
     /** What the module numbers its attempts by, and when it can be forgotten. */
     private static final class Taken {
-        final boolean bounded;
         int sent;
         int out;
         boolean over;
-
-        Taken(boolean bounded) {
-            this.bounded = bounded;
-        }
     }
 
-    /**
-     * How long the choice of a host holds for a read of bounded age: its bound counts from the send, so one that
-     * waited longer for a connection is decided anew. Less than the rules leave on sockets.
-     */
-    static final long FRESH_FOR = 25_000;
-
     private Env env;
     private final SplitterApi.Router module;
     private final Map<Long, Taken> taken = new HashMap<>();
+    private final Set<String> draining = new HashSet<>();
+    private final InvariantMonitor monitor = new InvariantMonitor();
     private final PriorityQueue<Alarm> alarms = new PriorityQueue<>(
         (a, b) -> a.due != b.due ? Long.compare(a.due, b.due) : Long.compare(a.order, b.order));
     private List<Directive> due = new ArrayList<>();
@@ -99,7 +97,8 @@
     /** Decides on a new request, whose number is used for it from here on. */
     public List<Directive> pick(long at, long number, ProxyRequest r) {
         now = at;
-        taken.put(number, new Taken(classOf(r.requestClass()).freshness() == Freshness.BOUNDED));
+        taken.put(number, new Taken());
+        monitor.taken(number, classOf(r.requestClass()), at + r.patienceMicros());
         long age = at - r.afterMicros();
         if (r.afterMicros() == Note.UNKNOWN) {
             age = SplitterApi.UNKNOWN;
@@ -112,6 +111,30 @@
         return takeDue();
     }
 
+    /** Rules whether an attempt may begin now, which is given up at {@code until}. */
+    public AttemptVerdict mayBegin(long at, Directive.Send send, Exchange exchange, long until) {
+        return AttemptRules.rule(new AttemptRules.Facts(at, exchange.isOver(), !exchange.isWanted(), until, send.writeBy(),
+            draining.contains(send.host())));
+    }
+
+    /** An attempt is about to be written, and its host is told to work for so many microseconds at most. */
+    public List<Directive> begun(long at, Directive.Send send, long wait) {
+        found(monitor.begun(at, send.request(), send.attempt(), send.host(), wait, env.drainGrace));
+        return takeDue();
+    }
+
+    /** A client was given its final answer, or its first part. */
+    public List<Directive> answered(long at, long request) {
+        found(monitor.answered(at, request));
+        return takeDue();
+    }
+
+    private void found(List<InvariantMonitor.Finding> findings) {
+        for (InvariantMonitor.Finding each : findings) {
+            due.add(new Directive.RuleBroken(each.violation().name().toLowerCase(Locale.ROOT), each.request(), each.host()));
+        }
+    }
+
     /** Takes in what happened. */
     public List<Directive> report(long at, News news) {
         now = at;
@@ -122,6 +145,7 @@
             }
             t.out--;
             t.over |= e.over();
+            monitor.ended(e.request(), e.attempt(), !ending(e.end()).neverRan());
             module.onOutcome(at, new Outcome(e.request(), e.attempt(), e.host(), ending(e.end()), e.latency(),
                 e.over(), role(e.note()), e.note().position()));
             forget(e.request(), t);
@@ -131,6 +155,7 @@
             module.onProbed(at, e.host(), ending(e.end()), e.latency(), report);
         } else if (news instanceof News.ClientGone e) {
             Taken t = taken.get(e.request());
+            monitor.over(e.request());
             if (t != null) {
                 t.over = true;
                 module.onHangUp(at, e.request());
@@ -139,6 +164,7 @@
         } else if (news instanceof News.Proxies e) {
             module.onFleet(at, new SplitterApi.Fleet(e.largest(), e.counted(), e.settled()));
         } else if (news instanceof News.Listed e) {
+            noteDraining(at, e.list());
             List<HostEntry> rows = new ArrayList<>();
             for (HostList.Entry h : e.list().entries()) {
                 rows.add(new HostEntry(h.host(), h.primary(), h.zone(), h.cluster(), state(h.state()), h.size(),
@@ -150,6 +176,21 @@
         return takeDue();
     }
 
+    private void noteDraining(long at, HostList list) {
+        if (list.whole()) {
+            draining.clear();
+        }
+        for (HostList.Entry host : list.entries()) {
+            boolean drains = host.state() == HostList.State.DRAINING;
+            monitor.listed(at, host.host(), drains);
+            if (drains) {
+                draining.add(host.host());
+            } else {
+                draining.remove(host.host());
+            }
+        }
+    }
+
     /** Lets the time be {@code at}: what was to be looked at by then is. */
     public List<Directive> tick(long at) {
         now = at;
@@ -217,9 +258,9 @@
     /** Notes the module's actions until the call that caused them returns them. */
     private final class Recorder implements SplitterApi.Actions {
         @Override
-        public void send(long id, String host, long abandonAt) {
+        public void send(long id, String host, long abandonAt, long beginBy) {
             Taken t = taken.get(id);
-            due.add(new Directive.Send(id, t.sent++, host, abandonAt, t.bounded ? now + FRESH_FOR : Long.MAX_VALUE));
+            due.add(new Directive.Send(id, t.sent++, host, abandonAt, beginBy));
             t.out++;
         }
 
--- a/src/main/java/mintstair/serve/Rehearsal.java
+++ b/src/main/java/mintstair/serve/Rehearsal.java
@@ -104,7 +104,7 @@
             : "SELECT payload FROM entries WHERE ref = '7f" + left + "'";
         String after = left % 2 == 0 ? "" : ",after=" + (loop.now() / 1000 - 50);
         dispatcher.submit(PgStatement.parse(head + " /* id=r" + left + ",c=" + kind + ",d=900,cluster=1" + after + " */",
-            rules), answer -> loop.execute(this::next));
+            rules), 0, answer -> loop.execute(this::next));
     }
 
     /** Hosts that answer at once, some with a miss; one request in fifty is lost. */
--- a/src/main/java/mintstair/stats/Counters.java
+++ b/src/main/java/mintstair/stats/Counters.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import mintstair.request.Answer;
+import mintstair.request.AttemptVerdict;
 import mintstair.request.ConnectionEnd;
 
 /** What the proxy took in, sent and answered since its start; kept on the loop. */
@@ -37,11 +38,23 @@
     /** Served, refused and failed of each class; of one that was dropped they stay. */
     private final Map<String, long[]> classes = new LinkedHashMap<>();
     private final long[] ends = new long[ConnectionEnd.values().length];
+    private final long[] heldBack = new long[AttemptVerdict.values().length];
+    private final Map<String, Long> rulesBroken = new LinkedHashMap<>();
 
     public void ended(ConnectionEnd end) {
         ends[end.ordinal()]++;
     }
 
+    /** An attempt that was decided on did not begin, for this reason. */
+    public void heldBack(AttemptVerdict why) {
+        heldBack[why.ordinal()]++;
+    }
+
+    /** A rule was found broken: a fault of the program. */
+    public void ruleBroken(String rule) {
+        rulesBroken.merge(rule, 1L, Long::sum);
+    }
+
     /** The class is there to be asked for, with nothing counted yet. */
     public void knows(String requestClass) {
         classes.computeIfAbsent(requestClass, name -> new long[3]);
@@ -66,9 +79,20 @@
         classes.forEach((name, counts) -> sum.add("served." + name, counts[0]).add("refused." + name, counts[1])
             .add("failed." + name, counts[2]));
         sum.add("attempts", written.get());
+        sum.add("rules_broken", rulesBroken.values().stream().mapToLong(Long::longValue).sum());
+        rulesBroken.forEach((rule, count) -> sum.add("rule_broken." + rule, count));
+        for (AttemptVerdict why : AttemptVerdict.values()) {
+            if (why != AttemptVerdict.MAY_BEGIN) {
+                sum.add("held_back." + name(why), heldBack[why.ordinal()]);
+            }
+        }
         sum.add("reloads_ok", reloadsOk).add("reloads_failed", reloadsFailed);
     }
 
+    private static String name(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
     /** One line, names and values. */
     @Override
     public String toString() {
@@ -80,9 +104,14 @@
             + " host_connections_spare=" + hostsSpare + " host_connections_not_up=" + hostsNotUp
             + " list_calls=" + listCalls + " list_calls_failed=" + listCallsFailed);
         for (ConnectionEnd end : ConnectionEnd.values()) {
-            line.append(" ended_").append(end.name().toLowerCase(Locale.ROOT)).append('=')
-                .append(ends[end.ordinal()]);
+            line.append(" ended_").append(name(end)).append('=').append(ends[end.ordinal()]);
+        }
+        for (AttemptVerdict why : AttemptVerdict.values()) {
+            if (why != AttemptVerdict.MAY_BEGIN) {
+                line.append(" held_back_").append(name(why)).append('=').append(heldBack[why.ordinal()]);
+            }
         }
+        line.append(" rules_broken=").append(rulesBroken);
         return line.toString();
     }
 }
--- a/src/test/java/mintstair/decision/Bed.java
+++ b/src/test/java/mintstair/decision/Bed.java
@@ -14,7 +14,7 @@
     static final long MS = 1_000;
 
     /** One attempt as sent. */
-    record Sent(long id, String host, long abandonAt, long at) { }
+    record Sent(long id, String host, long abandonAt, long beginBy, long at) { }
 
     final List<Sent> sends = new ArrayList<>();
     final List<Long> refused = new ArrayList<>();
@@ -146,8 +146,8 @@
     }
 
     @Override
-    public void send(long id, String host, long abandonAt) {
-        sends.add(new Sent(id, host, abandonAt, now));
+    public void send(long id, String host, long abandonAt, long beginBy) {
+        sends.add(new Sent(id, host, abandonAt, beginBy, now));
         trace.append("send ").append(id).append(' ').append(host).append('\n');
     }
 
--- a/src/test/java/mintstair/decision/EmbeddingTest.java
+++ b/src/test/java/mintstair/decision/EmbeddingTest.java
@@ -13,7 +13,7 @@
     static final class MyActions implements SplitterApi.Actions {
         final List<String> asked = new ArrayList<>();
 
-        @Override public void send(long id, String host, long abandonAt) { asked.add("send " + id + " to " + host); }
+        @Override public void send(long id, String host, long abandonAt, long beginBy) { asked.add("send " + id + " to " + host); }
         @Override public void cancel(long id, int attempt) { asked.add("cancel " + id); }
         @Override public void refuse(long id, long comeBack) { asked.add("refuse " + id); }
         @Override public void fail(long id) { asked.add("fail " + id); }
--- /dev/null
+++ b/src/test/java/mintstair/decision/InvariantMonitorTest.java
@@ -0,0 +1,115 @@
+package mintstair.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import mintstair.decision.InvariantMonitor.Finding;
+import mintstair.decision.InvariantMonitor.Violation;
+import mintstair.decision.SplitterApi.Freshness;
+import mintstair.decision.SplitterApi.Repeat;
+import mintstair.decision.SplitterApi.RepeatScope;
+import mintstair.decision.SplitterApi.RequestClass;
+import org.junit.jupiter.api.Test;
+
+/** The monitor finds each broken rule, and nothing where the rules are kept to their last moment. */
+class InvariantMonitorTest {
+    private static final long MS = 1_000;
+    private static final long SECOND = 1_000 * MS;
+    private static final long GRACE = SECOND;
+    private static final long WINDOW = 300 * MS;
+    private static final long REQUEST = 7;
+    private static final String HOST = "h";
+
+    private final InvariantMonitor monitor = new InvariantMonitor();
+
+    private void taken(Repeat repeat) {
+        monitor.taken(REQUEST, new RequestClass("c", Freshness.WRITE, repeat, RepeatScope.ALL, 0, SECOND, 2 * SECOND, WINDOW, 1, 0),
+            2 * SECOND);
+    }
+
+    private List<Violation> begun(long now, int attempt) {
+        return begun(now, attempt, SECOND);
+    }
+
+    private List<Violation> begun(long now, int attempt, long wait) {
+        return monitor.begun(now, REQUEST, attempt, HOST, wait, GRACE).stream().map(Finding::violation).toList();
+    }
+
+    @Test
+    void unsafeRequestMayNotBeginAgainWhileItIsOutOrMayHaveRun() {
+        taken(Repeat.UNSAFE);
+        assertEquals(List.of(), begun(0, 0));
+        assertEquals(List.of(Violation.SENT_TWICE), begun(MS, 1));
+        monitor.ended(REQUEST, 0, false);
+        monitor.ended(REQUEST, 1, true);
+        assertEquals(List.of(Violation.SENT_TWICE), begun(2 * MS, 2));
+    }
+
+    @Test
+    void unsafeRequestThatNeverRanMayBeginAgain() {
+        taken(Repeat.UNSAFE);
+        begun(0, 0);
+        monitor.ended(REQUEST, 0, false);
+        assertEquals(List.of(), begun(MS, 1));
+    }
+
+    @Test
+    void keyedRequestMayBeginAgainWithinItsWindow() {
+        taken(Repeat.KEYED);
+        begun(0, 0);
+        monitor.ended(REQUEST, 0, true);
+        assertEquals(List.of(), begun(WINDOW, 1));
+        assertEquals(List.of(Violation.SENT_TWICE), begun(WINDOW + 250 * MS, 2));
+    }
+
+    @Test
+    void safeRequestMayBeginAgain() {
+        taken(Repeat.SAFE);
+        begun(0, 0);
+        assertEquals(List.of(), begun(MS, 1));
+    }
+
+    @Test
+    void nothingBeginsOnceTheRequestIsOver() {
+        taken(Repeat.SAFE);
+        begun(0, 0);
+        monitor.over(REQUEST);
+        assertEquals(List.of(Violation.SENT_AFTER_END), begun(MS, 1));
+    }
+
+    @Test
+    void hostIsToldNoMoreTimeThanTheClientHas() {
+        taken(Repeat.SAFE);
+        assertEquals(List.of(), begun(SECOND, 0, SECOND + 150 * MS));
+        assertEquals(List.of(Violation.WAIT_TOO_LONG), begun(SECOND, 1, SECOND + 151 * MS));
+    }
+
+    @Test
+    void nothingBeginsAtADrainingHostAfterItsGrace() {
+        taken(Repeat.SAFE);
+        monitor.listed(0, HOST, true);
+        assertEquals(List.of(), begun(GRACE, 0, MS));
+        monitor.listed(GRACE, HOST, true);
+        assertEquals(List.of(Violation.SENT_TO_DRAINING), begun(GRACE + 201 * MS, 1, MS));
+        monitor.listed(GRACE + 202 * MS, HOST, false);
+        assertEquals(List.of(), begun(GRACE + 203 * MS, 2, MS));
+    }
+
+    @Test
+    void answersAreGivenOnceAndInTime() {
+        taken(Repeat.SAFE);
+        begun(0, 0);
+        assertEquals(List.of(new Finding(Violation.ANSWERED_LATE, REQUEST, "")), monitor.answered(2 * SECOND + 501 * MS, REQUEST));
+        assertEquals(2, monitor.answered(2 * SECOND + 502 * MS, REQUEST).size());
+    }
+
+    @Test
+    void requestsAreForgottenOnceTheyAndTheirAttemptsAreOver() {
+        taken(Repeat.SAFE);
+        begun(0, 0);
+        monitor.answered(MS, REQUEST);
+        assertEquals(1, monitor.watched());
+        monitor.ended(REQUEST, 0, true);
+        assertEquals(0, monitor.watched());
+    }
+}
