--- a/src/test/java/mintstair/program/ShutdownTest.java
+++ b/src/test/java/mintstair/program/ShutdownTest.java
@@ -50,6 +50,24 @@
         replica.close();
     }
 
+    /** A message that is never finished keeps nobody from ending in order, however short the deadlines are. */
+    @Test
+    void clientInTheMiddleOfAMessageIsToldOfTheEndBeforeItIsKilled() throws Exception {
+        program = Program.serve(Program.config(discovery.port(), known, false).replace("\"deadlineS\":5", "\"deadlineS\":0.5"), null);
+        byte[] message = Client.Pg.query(Client.Pg.words(false, "id=half,c=any,cluster=1", 500));
+        try (Client.Pg client = new Client.Pg(program.port(0))) {
+            client.raw(Arrays.copyOf(message, message.length / 2));
+            long told = System.nanoTime();
+            program.terminate();
+            assertEquals("failed", client.answer());
+            assertEquals(0, program.exit());
+            long took = (System.nanoTime() - told) / 1_000_000;
+            // SIGKILL may come after 1.2 s; what is unfinished without an end is given up after 2.5 s.
+            assertTrue(took < 2_000, "ended after " + took + " ms");
+        }
+        assertEquals(1, program.lines("counters: ").size());
+    }
+
     private static String inGroup(int group, String listed, int port) {
         return listed.replace("\"pod_group\":1", "\"pod_group\":" + group).replaceAll("\"uid\":\"(.)\"", "\"uid\":\"$1" + group + "\"")
             .replaceAll("127.0.0.1:\\d+", "127.0.0.1:" + port);
--- a/src/test/java/mintstair/serve/LeaversTest.java
+++ b/src/test/java/mintstair/serve/LeaversTest.java
@@ -187,6 +187,16 @@
         knownWithin(GRACE_MILLIS);
     }
 
+    /** One entry that names a port that cannot be must not keep back what the list tells of the others. */
+    @Test
+    void leaverIsKnownThoughAnotherEntryOfItsListCannotBeUsed() throws IOException {
+        watch();
+        agent.tell(Discovery.hosts(hosts, "h7=DRAINING").replaceFirst("127.0.0.1:1\"", "127.0.0.1:99999\""));
+        knownWithin(GRACE_MILLIS);
+        agent.tell(Discovery.hosts(hosts, "h7=DRAINING"));
+        Program.await(() -> figure("db_hosts_known") == hosts && figure("db_hosts_excluded") == 1, "the entry once it can be used");
+    }
+
     /** What the agent has counts as told from the first moment of a process, whose own list is from before. */
     @Test
     void newProcessLearnsAtOnceWhatItsOldListDoesNotTell() throws IOException {
