--- a/src/test/java/mintstair/pcap/TrafficLogTest.java
+++ b/src/test/java/mintstair/pcap/TrafficLogTest.java
@@ -151,15 +151,26 @@
     }
 
     @Test
-    void aFolderThatCannotBeWrittenEndsTheRecordingAndNothingElse() throws Exception {
+    void aFolderThatCannotBeWrittenLosesRecordsUntilItCan() throws Exception {
         TrafficLog log = new TrafficLog(folder, new Rotation(1 << 20, 1L << 40, 1 << 24), 1 << 20, now::get);
         Files.delete(folder);
+        Files.createFile(folder);
         TrafficLog.Conversation c = begin(log);
         Program.await(() -> {
             c.said(true, new byte[1]);
             return log.lostRecords() > 0;
-        }, "the end of the recording");
+        }, "a record that is lost");
+        assertEquals(0, log.writtenBytes());
+        Files.delete(folder);
+        Program.await(() -> {
+            now.addAndGet(1_000_000);
+            c.said(true, new byte[1]);
+            return log.writtenBytes() > 0;
+        }, "a record that is written again");
         log.close();
+        try (Stream<Path> files = Files.list(folder)) {
+            assertEquals(1, files.count());
+        }
     }
 
     @Test
--- a/src/test/java/mintstair/store/StoreTest.java
+++ b/src/test/java/mintstair/store/StoreTest.java
@@ -8,10 +8,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import mintstair.program.Program;
 import mintstair.standin.Discovery;
 import org.junit.jupiter.api.AfterEach;
@@ -87,6 +89,22 @@
         Program.await(() -> running.values().stream().allMatch(s -> "two".equals(s.local("config/a"))), "all members");
     }
 
+    /** A member was killed in the middle of writing what stands in for its log: the half is no snapshot, and the log is still there. */
+    @Test
+    void halfWrittenSnapshotIsNotReadAndWhatWasTakenIsThere() throws IOException {
+        running.get("n1").put("config/a", "one");
+        Program.await(() -> "one".equals(running.get("n2").local("config/a")), "the second member");
+        stop("n2");
+        Path snapshots;
+        try (Stream<Path> files = Files.walk(folder.resolve("n2"))) {
+            snapshots = files.filter(file -> file.getFileName().toString().equals("sm")).findFirst().orElseThrow();
+        }
+        // A count of seven entries, and none of them.
+        Files.write(snapshots.resolve("snapshot.1_1"), new byte[] {0, 0, 0, 7, 0, 0});
+        start("n2");
+        Program.await(() -> "one".equals(running.get("n2").local("config/a")), "what was taken before");
+    }
+
     @Test
     void minorityRefusesWritesAndKeepsWhatItHas() throws IOException {
         running.get("n1").put("state/n1", "up");
