Rest a listener that cannot accept, and outlast half-written and unwritable files

A connection that cannot be accepted stays in the backlog, and the selector offers it again at once, without end. TrafficLog's thread ended at the first IOException.

A recording loses and counts what it can't write, tries each second in a new file, and says once when it fails and when it goes on. The store's own recurring tasks outlive what one run throws.

--- a/src/main/java/mintstair/control/ControlServer.java
+++ b/src/main/java/mintstair/control/ControlServer.java
@@ -7,6 +7,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import mintstair.wire.AcceptRetryStrategy;
 import mintstair.wire.Framer;
 import mintstair.wire.LineFramer;
 import mintstair.wire.MessageFilter;
@@ -21,7 +22,6 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 
 /**
  * The second address: one line a connection, one answer, the end. It has a thread and a listener of its own, so that it
@@ -39,7 +39,7 @@
 
     public ControlServer(Calls calls) {
         this.calls = calls;
-        transport = TCPNIOTransportBuilder.newInstance().setName("control").setIOStrategy(SameThreadIOStrategy.getInstance())
+        transport = TCPNIOTransportBuilder.newInstance().setName("control").setIOStrategy(new AcceptRetryStrategy())
             .setSelectorRunnersCount(1).setTcpNoDelay(true).setReuseAddress(true).setReadBufferSize(LineFramer.LONGEST).build();
     }
 
--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.SelectableChannel;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -36,6 +37,9 @@
     private static final long SWEEP_EVERY = 100_000;
     private static final int BACKLOG = 1024;
     private static final long DEREGISTERED = 500;
+    /** At the end whoever waits to be accepted is taken in, though that fails for so many times so long. */
+    private static final int ACCEPT_TRIES = 40;
+    private static final long ACCEPT_AGAIN = 5_000;
 
     protected final Loop loop;
     protected final Dispatcher dispatcher;
@@ -198,14 +202,14 @@
         CompletableFuture<Void> ended = new CompletableFuture<>();
         ending.executeInEventThread(IOEvent.SERVER_ACCEPT, () -> {
             ending.getSelectionKey().cancel();
-            loop.execute(() -> drainAndClose(ending, ended));
+            loop.execute(() -> drainAndClose(ending, ended, ACCEPT_TRIES));
         });
         return ended;
     }
 
-    private void drainAndClose(TCPNIOServerConnection ending, CompletableFuture<Void> ended) {
+    private void drainAndClose(TCPNIOServerConnection ending, CompletableFuture<Void> ended, int triesLeft) {
         if (ending.getChannel().isRegistered()) {
-            loop.at(loop.now() + DEREGISTERED, () -> drainAndClose(ending, ended));
+            loop.at(loop.now() + DEREGISTERED, () -> drainAndClose(ending, ended, triesLeft));
             return;
         }
         try {
@@ -213,10 +217,15 @@
             for (int i = 0; i < BACKLOG; i++) {
                 ending.onAccept();
             }
-            ending.getChannel().close();
         } catch (IOException e) {
-            System.err.println("front: " + e.getMessage());
+            // Descriptors may be short for a moment, and the close resets whoever still waits.
+            if (triesLeft > 0) {
+                loop.at(loop.now() + ACCEPT_AGAIN, () -> drainAndClose(ending, ended, triesLeft - 1));
+                return;
+            }
+            System.err.println("front: clients that wait are reset: " + e.getMessage());
         }
+        close(ending.getChannel());
         // Not on the event thread: the next listener's registration was seen to go unnoticed after that, for 10 s.
         ending.closeSilently();
         // Behind the sessions that were accepted right now, which are on their way to the loop.
@@ -235,6 +244,14 @@
         List.copyOf(sessions).forEach(ClientSession::endUnfinished);
     }
 
+    private static void close(SelectableChannel listener) {
+        try {
+            listener.close();
+        } catch (IOException e) {
+            System.err.println("front: " + e.getMessage());
+        }
+    }
+
     public int clients() {
         return sessions.size();
     }
--- a/src/main/java/mintstair/pcap/Rotation.java
+++ b/src/main/java/mintstair/pcap/Rotation.java
@@ -52,6 +52,14 @@
         since = now;
     }
 
+    /** The newest file can't be written any further: whatever comes next goes to a new one. */
+    public void abandon() {
+        if (current != null) {
+            found(current, bytes);
+            current = null;
+        }
+    }
+
     /** So many bytes were written to the newest file. */
     public void wrote(int n) {
         bytes += n;
--- a/src/main/java/mintstair/pcap/TrafficLog.java
+++ b/src/main/java/mintstair/pcap/TrafficLog.java
@@ -11,6 +11,7 @@
 import java.time.format.DateTimeFormatter;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
@@ -28,6 +29,8 @@
     private static final String ENDING = ".pcap";
     /** What a record holds beside its bytes, about. */
     private static final int OVERHEAD = 120;
+    /** Between two tries to write, while the disk takes nothing. */
+    private static final long RETRY_MICROS = 1_000_000;
 
     /** Something to be written: it is told whether what came before it was lost. */
     private interface Task {
@@ -46,8 +49,12 @@
     private long queued;
     private boolean over;
     private OutputStream out;
-    private volatile long lostRecords;
-    private volatile long lostBytes;
+    private Path file;
+    private final AtomicLong lostRecords = new AtomicLong();
+    private final AtomicLong lostBytes = new AtomicLong();
+    /** On the writing thread: whether the last try to write failed, and when the next one is made. */
+    private boolean failing;
+    private long retryAt;
     private volatile long writtenBytes;
     private volatile String broken;
 
@@ -141,8 +148,8 @@
                 return true;
             }
         }
-        lostRecords++;
-        lostBytes += bytes;
+        lostRecords.incrementAndGet();
+        lostBytes.addAndGet(bytes);
         return false;
     }
 
@@ -152,9 +159,7 @@
                 for (Waiting each : batch) {
                     each.task.write();
                 }
-                if (out != null) {
-                    out.flush();
-                }
+                flush();
                 long done = batch.stream().mapToLong(Waiting::bytes).sum();
                 synchronized (lock) {
                     queued -= done;
@@ -186,8 +191,74 @@
         }
     }
 
-    private void write(byte[] record) throws IOException {
+    /** Writes one record, or loses and counts it: the disk may be full for a while, and the recording goes on when it is not. */
+    private void write(byte[] record) {
         long now = clock.getAsLong();
+        if (failing && now < retryAt) {
+            lose(record.length);
+            return;
+        }
+        try {
+            append(now, record);
+            healed();
+        } catch (IOException e) {
+            lose(record.length);
+            failed(now, e);
+        }
+    }
+
+    private void flush() {
+        if (out != null) {
+            try {
+                out.flush();
+            } catch (IOException e) {
+                failed(clock.getAsLong(), e);
+            }
+        }
+    }
+
+    private void lose(int bytes) {
+        lostRecords.incrementAndGet();
+        lostBytes.addAndGet(bytes);
+    }
+
+    /** What follows the failure goes to a new file, as this one may end within a record. */
+    private void failed(long now, IOException why) {
+        if (!failing) {
+            System.err.println("the recording can't be written to " + folder + ", tried again each second: " + why.getMessage());
+        }
+        failing = true;
+        retryAt = now + RETRY_MICROS;
+        rotation.abandon();
+        try {
+            closeFile();
+        } catch (IOException e) {
+            // What was still to be written of it is lost, as was said.
+            out = null;
+        }
+        deleteEmpty();
+    }
+
+    /** A disk that is full for hours must not be filled with files of nothing. */
+    private void deleteEmpty() {
+        try {
+            if (file != null && Files.size(file) == 0) {
+                Files.delete(file);
+            }
+        } catch (IOException e) {
+            // It stays, or was never there.
+        }
+        file = null;
+    }
+
+    private void healed() {
+        if (failing) {
+            failing = false;
+            System.err.println("the recording goes on, " + lostRecords + " records were lost up to now");
+        }
+    }
+
+    private void append(long now, byte[] record) throws IOException {
         if (rotation.isDue(now, record.length)) {
             closeFile();
             String name = PREFIX + NAME.format(Instant.ofEpochSecond(now / 1_000_000, now % 1_000_000 * 1000)) + ENDING;
@@ -198,7 +269,9 @@
             for (String old : rotation.toDelete()) {
                 Files.deleteIfExists(folder.resolve(old));
             }
-            out = new BufferedOutputStream(Files.newOutputStream(folder.resolve(name)), 64 * 1024);
+            Files.createDirectories(folder);
+            file = folder.resolve(name);
+            out = new BufferedOutputStream(Files.newOutputStream(file), 64 * 1024);
             put(TcpConversation.head());
         }
         put(record);
@@ -219,11 +292,11 @@
 
     /** Records that were lost as the disk could not take them in time, or any more. */
     public long lostRecords() {
-        return lostRecords;
+        return lostRecords.get();
     }
 
     public long lostBytes() {
-        return lostBytes;
+        return lostBytes.get();
     }
 
     public long writtenBytes() {
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -38,12 +38,12 @@
 import mintstair.routing.RequestRouter;
 import mintstair.stats.Figures;
 import mintstair.stats.HeapFloor;
+import mintstair.wire.AcceptRetryStrategy;
 import mintstair.wire.PgWriter;
 import org.glassfish.grizzly.nio.ChannelConfigurator;
 import org.glassfish.grizzly.nio.NIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 
 /** One running proxy: what is made at the start, and how it ends. */
 public final class Proxy {
@@ -104,7 +104,7 @@
 
     /** One network thread: what it reads, it hands to the loop. Another process may listen on the same address. */
     static TCPNIOTransport transport() {
-        TCPNIOTransport made = TCPNIOTransportBuilder.newInstance().setIOStrategy(SameThreadIOStrategy.getInstance())
+        TCPNIOTransport made = TCPNIOTransportBuilder.newInstance().setIOStrategy(new AcceptRetryStrategy())
             .setSelectorRunnersCount(1).setTcpNoDelay(true).setReuseAddress(true)
             .setReadBufferSize(READ_SIZE).build();
         ChannelConfigurator usual = made.getChannelConfigurator();
@@ -238,7 +238,8 @@
         if (log != null) {
             log.addTo(sum);
         }
-        sum.add("unexpected_errors", loop.failures()).add("log_lines_dropped", NonBlockingOutput.droppedByInstalled());
+        sum.add("unexpected_errors", loop.failures()).add("log_lines_dropped", NonBlockingOutput.droppedByInstalled())
+            .add("accepts_failed", ((AcceptRetryStrategy) transport.getIOStrategy()).failures());
         figures = sum.figures();
         heap.sample(Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
     }
--- a/src/main/java/mintstair/serve/StoreKeeper.java
+++ b/src/main/java/mintstair/serve/StoreKeeper.java
@@ -35,8 +35,17 @@
     StoreKeeper(OperatorConfig.Members members, String name, Consumer<HostList> hosts,
             Supplier<String> state) throws IOException {
         store = Store.member(members.member(), members.members(), members.folder());
-        thread.scheduleWithFixedDelay(() -> look(hosts), 0, LOOK_EVERY_SECONDS, TimeUnit.SECONDS);
-        thread.scheduleWithFixedDelay(() -> tell(name, state.get()), 0, TELL_EVERY_SECONDS, TimeUnit.SECONDS);
+        thread.scheduleWithFixedDelay(() -> guarded(() -> look(hosts)), 0, LOOK_EVERY_SECONDS, TimeUnit.SECONDS);
+        thread.scheduleWithFixedDelay(() -> guarded(() -> tell(name, state.get())), 0, TELL_EVERY_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** What one run throws would silently be the end of all later ones. */
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            System.err.println("store: unexpected: " + e);
+        }
     }
 
     /** A list that cannot be read changes nothing. */
--- a/src/main/java/mintstair/store/Entries.java
+++ b/src/main/java/mintstair/store/Entries.java
@@ -1,14 +1,20 @@
 package mintstair.store;
 
+import java.io.BufferedOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.File;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.apache.ratis.io.MD5Hash;
 import org.apache.ratis.proto.RaftProtos.LogEntryProto;
 import org.apache.ratis.protocol.Message;
@@ -25,16 +31,43 @@
 
 /** What the store holds: keys and values, changed by the members' common log alone. */
 final class Entries extends BaseStateMachine {
+    /** What a kill leaves half written is under this name, which is no snapshot's. */
+    private static final String UNFINISHED = "unfinished";
+    private static final String SET_ASIDE = "bad-";
+
     private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
     private final Map<String, String> entries = new TreeMap<>();
 
     @Override
     public void initialize(RaftServer server, RaftGroupId group, RaftStorage raftStorage) throws IOException {
         super.initialize(server, group, raftStorage);
+        setAsideTorn(raftStorage.getStorageDir().getStateMachineDir().toPath());
         storage.init(raftStorage);
         load(storage.getLatestSnapshot());
     }
 
+    /** A snapshot without its right digest is not whole, and the members' logs or copies have what is in it. */
+    private static void setAsideTorn(Path folder) throws IOException {
+        if (!Files.isDirectory(folder)) {
+            return;
+        }
+        List<Path> files;
+        try (Stream<Path> listed = Files.list(folder)) {
+            files = listed.filter(file -> SimpleStateMachineStorage.SNAPSHOT_REGEX.matcher(file.getFileName().toString()).matches()).toList();
+        }
+        for (Path file : files) {
+            if (!isWhole(file.toFile())) {
+                System.err.println("store: " + file + " is not whole and is set aside");
+                Files.move(file, file.resolveSibling(SET_ASIDE + file.getFileName()), StandardCopyOption.REPLACE_EXISTING);
+            }
+        }
+    }
+
+    private static boolean isWhole(File snapshot) throws IOException {
+        MD5Hash kept = MD5FileUtil.readStoredMd5ForFile(snapshot);
+        return kept != null && kept.equals(MD5FileUtil.computeMd5ForFile(snapshot));
+    }
+
     @Override
     public void reinitialize() throws IOException {
         load(storage.getLatestSnapshot());
@@ -63,14 +96,21 @@
     public synchronized long takeSnapshot() throws IOException {
         TermIndex last = getLastAppliedTermIndex();
         File file = storage.getSnapshotFile(last.getTerm(), last.getIndex());
-        try (DataOutputStream out = new DataOutputStream(Files.newOutputStream(file.toPath()))) {
+        Path unfinished = file.toPath().resolveSibling(UNFINISHED);
+        try (FileOutputStream written = new FileOutputStream(unfinished.toFile());
+                DataOutputStream out = new DataOutputStream(new BufferedOutputStream(written))) {
             out.writeInt(entries.size());
             for (Map.Entry<String, String> e : entries.entrySet()) {
                 write(out, e.getKey());
                 write(out, e.getValue());
             }
+            out.flush();
+            written.getFD().sync();
         }
-        MD5Hash digest = MD5FileUtil.computeAndSaveMd5ForFile(file);
+        // Under its name it is whole, and its digest is there before it.
+        MD5Hash digest = MD5FileUtil.computeMd5ForFile(unfinished.toFile());
+        MD5FileUtil.saveMD5File(file, digest);
+        Files.move(unfinished, file.toPath(), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         storage.updateLatestSnapshot(new SingleFileSnapshotInfo(new FileInfo(file.toPath(), digest), last));
         return last.getIndex();
     }
