--- a/src/test/java/mintstair/program/DayToDayTest.java
+++ b/src/test/java/mintstair/program/DayToDayTest.java
@@ -195,6 +195,7 @@
                 assertEquals("failed", holds.answer(), "what was taken is answered");
                 assertEquals(-1, idle.in.read(), "a kept connection is let go");
                 assertEquals(0, program.exit());
+                assertEquals(List.of("ending: a successor listens"), program.lines("ending: "));
                 try (Client.Pg client = new Client.Pg(port)) {
                     assertEquals("served last", client.ask(false, "id=last,c=any,cluster=1", 4000));
                 }
