--- /dev/null
+++ b/src/test/java/mintstair/soak/SoakHost.java
@@ -0,0 +1,166 @@
+package mintstair.soak;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import mintstair.standin.StandInHost;
+import mintstair.wire.PgWriter;
+
+/** A db host that misbehaves as the play wants it and notes each request that arrives. */
+final class SoakHost implements AutoCloseable {
+    /** What becomes of a request that has arrived. */
+    enum Mode { SERVE, HANG, RESET, ERROR, TURN_AWAY, TORN }
+
+    private static final Pattern ID = Pattern.compile("id=([^,]*),");
+    private static final Pattern WAIT = Pattern.compile("d=(\\d+)");
+    private static final int MOST_WORK_MILLIS = 15;
+    private static final long SHIPPING_MILLIS = 10;
+    private static final int MOST_GREETING_MILLIS = 700;
+
+    final String name;
+    final int group;
+    volatile boolean primary;
+    volatile Mode mode = Mode.SERVE;
+    volatile boolean greetsLate;
+    /** Since when it applies nothing, in Unix milliseconds; 0 while it keeps up. */
+    private volatile long stoppedAt;
+    /** When discovery told that it drains, on the ledger's clock; {@link Long#MAX_VALUE} while it serves. */
+    volatile long drainingSince = Long.MAX_VALUE;
+    final long bootMillis;
+    private final Ledger ledger;
+    private final Random random;
+    private final ServerSocket server = new ServerSocket(0, 500, InetAddress.getByName("127.0.0.1"));
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
+    SoakHost(String name, int group, boolean primary, long bootMillis, Ledger ledger, long seed) throws IOException {
+        this.name = name;
+        this.group = group;
+        this.primary = primary;
+        this.bootMillis = bootMillis;
+        this.ledger = ledger;
+        random = new Random(seed);
+        StandInHost.daemon(this::accept);
+    }
+
+    /** As discovery lists it. */
+    String listed() {
+        return "{\"uid\":\"" + name + "\",\"endpoint\":\"127.0.0.1:" + server.getLocalPort() + "\",\"az\":\"a\",\"model\":\"m\",\"pod_group\":"
+            + group + ",\"state\":\"" + (drainingSince < Long.MAX_VALUE ? "DRAINING" : "SERVING") + "\",\"capacity_hint\":1.0,\"boot_ms\":"
+            + bootMillis + ",\"rank\":\"" + (primary ? "source" : "copy") + "\"}";
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                socket.setTcpNoDelay(true);
+                sockets.add(socket);
+                StandInHost.daemon(() -> {
+                    try (socket) {
+                        serve(socket, new DataInputStream(socket.getInputStream()), socket.getOutputStream());
+                    } catch (IOException e) {
+                        // The proxy went away, or the play ended the connection.
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    } finally {
+                        sockets.remove(socket);
+                    }
+                });
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private synchronized int chance(int bound) {
+        return random.nextInt(bound);
+    }
+
+    /** As a replica it stands still, as far as it had come, or goes on. */
+    void applies(boolean on) {
+        stoppedAt = on ? 0 : System.currentTimeMillis();
+    }
+
+    private long position() {
+        long stopped = stoppedAt;
+        long now = System.currentTimeMillis();
+        return primary ? now : (stopped > 0 ? stopped : now) - SHIPPING_MILLIS;
+    }
+
+    private void serve(Socket socket, DataInputStream in, OutputStream out) throws IOException, InterruptedException {
+        in.readNBytes(in.readInt() - 4);
+        if (greetsLate) {
+            Thread.sleep(chance(MOST_GREETING_MILLIS));
+        }
+        out.write(new PgWriter().message('R', 0).ready().bytes());
+        for (int type = in.read(); type == 'Q'; type = in.read()) {
+            String text = new String(in.readNBytes(in.readInt() - 4), StandardCharsets.UTF_8).replace("\0", "");
+            if (text.equals("SHOW vitals")) {
+                out.write(row("inflight=0,util=0.1,x0=" + position() / 1e3 + ",x1=" + (primary ? 1 : 0)).ready().bytes());
+            } else if (!answer(socket, out, text)) {
+                return;
+            }
+        }
+    }
+
+    /** Answers one request, or not; false where its connection is over. */
+    private boolean answer(Socket socket, OutputStream out, String text) throws IOException, InterruptedException {
+        Mode now = mode;
+        Matcher id = ID.matcher(text);
+        Matcher wait = WAIT.matcher(text);
+        if (!id.find() || !wait.find()) {
+            throw new IOException("no request: " + text);
+        }
+        long position = position();
+        boolean miss = text.startsWith("INSERT") && !primary;
+        ledger.arrived(id.group(1), this, Long.parseLong(wait.group(1)), position, now != Mode.TURN_AWAY && !miss);
+        if (now == Mode.HANG) {
+            while (mode == Mode.HANG && !server.isClosed()) {
+                Thread.sleep(5);
+            }
+        } else if (now == Mode.RESET) {
+            socket.setSoLinger(true, 0);
+            return false;
+        }
+        Thread.sleep(1 + chance(MOST_WORK_MILLIS));
+        PgWriter words = miss ? error("25006") : switch (now) {
+            case ERROR -> error("XX000");
+            case TURN_AWAY -> error("53300");
+            default -> row(id.group(1));
+        };
+        byte[] bytes = words.message('S', "rank", primary ? "source" : "copy").message('S', "as_of", Long.toString(position)).ready().bytes();
+        if (now == Mode.TORN) {
+            out.write(bytes, 0, bytes.length / 2);
+            return false;
+        }
+        out.write(bytes);
+        return true;
+    }
+
+    private static PgWriter error(String code) {
+        return new PgWriter().error("ERROR", code, "as the play wants it", null);
+    }
+
+    private static PgWriter row(String value) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        return new PgWriter().message('T', '\0', '\1', "payload", 0, '\0', '\0', 17, '\0', '\4', -1, '\0', '\1')
+            .message('D', '\0', '\1', bytes.length, bytes).message('C', "SELECT 1");
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
