--- a/src/test/java/mintstair/program/FailingCallsTest.java
+++ b/src/test/java/mintstair/program/FailingCallsTest.java
@@ -86,6 +86,22 @@
         program.end();
     }
 
+    /** No socket is to be had for a moment while it starts, as after a crash under load: it serves as soon as one is. */
+    @Test
+    void programThatStartsWhileNoSocketIsToBeHadServesOnceOneIs() throws Exception {
+        program.end();
+        shim.fail(Call.SOCKET, Fault.ENFILE, 1_000);
+        try (Program next = Program.shimmed(shim, Program.config(discovery.port(), primary.listed("SERVING"), false))) {
+            long failed = shim.failed(Call.SOCKET);
+            Program.await(() -> shim.failed(Call.SOCKET) > failed + 20 || !next.process.isAlive(), "calls that fail");
+            shim.heal();
+            try (Client.Pg client = new Client.Pg(next.port(0))) {
+                serve(client, "a client that came after the start");
+            }
+            next.end();
+        }
+    }
+
     /** No descriptor is to be had for two seconds: those who come wait, and the program does not spin meanwhile. */
     @Test
     void listenerThatCannotAcceptWaitsWithoutSpinningAndGoesOn() throws Exception {
