Start once a socket is to be had, in place of ending with status 2

Cause: the start made its listeners once, and any failure was a bad configuration. On the way two more: a second try to listen on the second address started its transport again, and the virtual machine asks only once whether SO_REUSEPORT can be had, so that a first use of sockets at such a moment left a process that could not listen at all ("'SO_REUSEPORT' not supported").

The first thing that the start does is to wait for a socket; without SO_REUSEPORT it serves alone and says so.

--- a/src/main/java/mintstair/control/ControlServer.java
+++ b/src/main/java/mintstair/control/ControlServer.java
@@ -45,7 +45,9 @@
 
     /** Listens on the address, or on any free port of it for port 0; returns the port. */
     public int listen(InetSocketAddress address) throws IOException {
-        transport.start();
+        if (transport.isStopped()) {
+            transport.start();
+        }
         MessageFilter filter = new MessageFilter(connection -> {
             Caller caller = new Caller(connection);
             begin(caller);
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -113,7 +113,7 @@
             public void preConfigure(NIOTransport of, SelectableChannel channel) throws IOException {
                 usual.preConfigure(of, channel);
                 if (channel instanceof ServerSocketChannel listener) {
-                    listener.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+                    shareAddress(listener);
                 }
             }
 
@@ -125,6 +125,15 @@
         return made;
     }
 
+    /** The virtual machine asks the system once whether this can be had; where it could not be told then, this process serves alone. */
+    private static void shareAddress(ServerSocketChannel listener) throws IOException {
+        try {
+            listener.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        } catch (UnsupportedOperationException e) {
+            System.err.println("starting: no other process can listen beside this one: " + e.getMessage());
+        }
+    }
+
     /** Starts to serve; returns once the proxy listens. At each of these signals it reads {@code file} anew. */
     public void start(Path file, HangUps hangUps) throws IOException {
         try {
@@ -133,9 +142,11 @@
             // SIGTERM was quicker: nobody knows of this process yet.
             return;
         }
+        SocketRetry.awaitSockets();
         if (config.control() != null) {
             control = new ControlServer(calls);
-            System.out.println("control on " + config.control().getHostString() + ":" + control.listen(config.control()));
+            int controlPort = SocketRetry.untilMade(() -> control.listen(config.control()));
+            System.out.println("control on " + config.control().getHostString() + ":" + controlPort);
         }
         transport.start();
         OperatorConfig.Recording record = operator.record();
@@ -197,8 +208,8 @@
             if (ends) {
                 return;
             }
-            membership = new MembershipKeeper(operator.membership(), config.name(), config.env().proxies, config.seed(), loop::execute,
-                proxies -> services.forEach(service -> service.proxies(proxies)));
+            membership = SocketRetry.untilMade(() -> new MembershipKeeper(operator.membership(), config.name(), config.env().proxies,
+                config.seed(), loop::execute, proxies -> services.forEach(service -> service.proxies(proxies))));
             calls.members(membership::lines);
             membership.start();
         }
@@ -220,7 +231,7 @@
      */
     private void rehearse(InetSocketAddress listen) throws IOException {
         Front front = services.get(0).front;
-        int port = front.listen(new InetSocketAddress(listen.getAddress(), 0));
+        int port = SocketRetry.untilMade(() -> front.listen(new InetSocketAddress(listen.getAddress(), 0)));
         Rehearsal.run(config.env(), new InetSocketAddress(listen.getAddress(), port), REHEARSAL_MILLIS);
         front.stopListening();
     }
--- a/src/main/java/mintstair/serve/Service.java
+++ b/src/main/java/mintstair/serve/Service.java
@@ -159,7 +159,7 @@
     int open(InetSocketAddress listen, Recorder recorder) throws IOException {
         listKnown.join();
         front.record(recorder);
-        int port = front.listen(listen);
+        int port = SocketRetry.untilMade(() -> front.listen(listen));
         loop.execute(hosts::open);
         System.out.println("serving on " + listen.getHostString() + ":" + port);
         return port;
