--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -42,9 +42,7 @@
     static final double SILENCE = 7; // answers missed in the mean for silence: by chance once in e^7 looks
     static final int SILENT_REQUESTS = 3; // that must be without an answer for it: one may just be long
     static final double TRIAL_WEIGHT = 0.03; // of a silent, failing or slow host
-    static final double FAILING = 0.5; // failure share past which a host gets only trial traffic
     static final double SLOW = 1.6; // time over peers past which a replica's weight sinks, with the square
-    static final double HALF_LIFE = 4_000_000; // of symptoms
     static final double CROWDED = 1.3; // a replica with over this many times its peers' mean sits out
     static final double COME_BACK = 0.3; // share of its aim after which a refused client is asked back
     static final double SPARE_RATE = 0.1, SPARE_RATE_SWIFT = 0.4; // further attempts a request; while swift
@@ -74,7 +72,9 @@
     private Share[] shares;
     private final ConcurrencyLimit allPrimaries, allReplicas;
     private long tightestBound = Long.MAX_VALUE;
-    private double requestRate, spare = SPARE_FIRST, demand = DEMAND_FIRST, lossy, fallen;
+    private final EarnedBudget furtherAttempts = new EarnedBudget(SPARE_FIRST, SPARE_MOST);
+    private final EarnedBudget demandedPolls = new EarnedBudget(DEMAND_FIRST, DEMAND_MOST);
+    private double requestRate, lossy, fallen;
     private long rateAt, wakeAt = Long.MAX_VALUE, awakeSince, alarmAt = RouterState.NEVER, lastSeen;
     private long youngestReport = REPORT_AGE / 4;
     private int listFailures;
@@ -266,9 +266,9 @@
         Kind kind = kinds[r.classIndex()];
         double unstrained = Math.max(0, 1 - allReplicas.answerTime() / ConcurrencyLimit.STRAIN_AIM);
         double more = SPARE_RATE + (SPARE_RATE_SWIFT - SPARE_RATE) * unstrained;
-        spare = Math.min(Math.min(SPARE_MOST, SPARE_FIRST + rate(now)), spare + more);
+        furtherAttempts.earn(more, rate(now));
         double polls = DEMAND_BUDGET / Math.max(1e-9, settings.probePrice());
-        demand = Math.min(Math.min(DEMAND_MOST, DEMAND_FIRST + rate(now)), demand + polls);
+        demandedPolls.earn(polls, rate(now));
         requestRate = rate(now) + 1e6 / RATE_SPAN;
         rateAt = now;
         Open q = new Open(r, kind, now, tokenOf(now, r, kind), overShare(now, r.tenant()), luckOf(r),
@@ -471,12 +471,12 @@
         if (candidates == 0 || q.asked >= DEMAND_ROUNDS && now - q.askedAt < SEEK_EVERY) return false;
         q.asked++;
         q.askedAt = now;
-        boolean sent = demand >= 1;
-        for (int n = Math.min(candidates, DEMAND_AT_ONCE); n > 0 && demand >= 1; n--) {
+        boolean sent = demandedPolls.isEnough();
+        for (int n = Math.min(candidates, DEMAND_AT_ONCE); n > 0 && demandedPolls.isEnough(); n--) {
             int skip = random.nextInt(candidates--);
             for (Host h : g.members) {
                 if (canProve(now, h, q, need) && skip-- == 0) {
-                    demand--;
+                    demandedPolls.spend();
                     ask(now, h);
                     break;
                 }
@@ -526,10 +526,10 @@
         int count = 0;
         for (Host h : g.members) {
             if (h == g.primary || !h.ready || h.silent) continue;
-            fade(now, h);
+            h.health.fade(now);
             outThere += h.inFlight;
             trustedThere += warmth(h, now);
-            usualStretch += h.stretch;
+            usualStretch += h.health.stretch();
             count++;
         }
         trustedThere = Math.max(1e-6, trustedThere);
@@ -543,31 +543,22 @@
         return use < 1 && h.inFlight < limit && now - h.fullAt >= MISS_REST;
     }
 
-    /** Symptoms fade; looked at only when they are read. */
-    private static void fade(long now, Host h) {
-        double kept = Math.exp(-(now - h.fadedAt) * Math.log(2) / HALF_LIFE);
-        h.failing *= kept;
-        h.seen *= kept;
-        h.stretch = 1 + (h.stretch - 1) * kept;
-        h.fadedAt = now;
-    }
-
     /** The share of the room open to a request: less for little worth, less over its tenant's share. */
     private static double room(Open q) { return q.overShare ? OVER_SHARE_ROOM * q.kind.room : q.kind.room; }
 
     /** A replica's weight by its symptoms: silence, failures, time over its peers. */
     private double health(Host h) {
-        double over = h.stretch / usualStretch;
-        if (h.silent || h.failing > FAILING) return TRIAL_WEIGHT;
-        double w = (1 - h.failing) * (1 - h.failing);
+        double over = h.health.stretch() / usualStretch;
+        if (h.silent || h.health.isFailing()) return TRIAL_WEIGHT;
+        double w = (1 - h.health.failures()) * (1 - h.health.failures());
         return over > SLOW ? Math.max(TRIAL_WEIGHT, w * SLOW * SLOW / (over * over) / 2) : w;
     }
 
     @Override public int avoided(long now) {
         int count = 0;
         for (Host h : hosts.values()) {
-            fade(now, h);
-            if (h.goneAt == 0 && (!h.ready || h.silent || h.failing > FAILING)) count++;
+            h.health.fade(now);
+            if (h.goneAt == 0 && (!h.ready || h.silent || h.health.isFailing())) count++;
         }
         return count;
     }
@@ -639,7 +630,7 @@
     /** A called-off attempt was paid for when it was called off. */
     private boolean spend(Ending e) {
         if (e == Ending.MISS || e == Ending.MOOT || e == Ending.CANCELLED) return true;
-        return spare >= 1 && spare-- >= 1;
+        return furtherAttempts.spend();
     }
 
     /** The final answer at once: refused where that is true and harmless, else failed. */
@@ -697,18 +688,17 @@
     private void measure(long now, Host h, Open q, Outcome o, boolean answered) {
         Ending e = o.ending();
         Kind k = q.kind;
-        fade(now, h);
+        h.health.fade(now);
         if (e == Ending.OK) {
             double off = o.latency() - k.mean;
-            h.stretch += NEWEST * (Math.min(10, o.latency() / k.mean) - h.stretch);
+            h.health.answered(o.latency() / k.mean);
             k.mean += NEWEST_OF_CLASS * off;
             k.assumed *= 1 - NEWEST_OF_CLASS;
             k.deviation += NEWEST_OF_CLASS * (Math.abs(off) - k.deviation);
         }
         boolean bad = e == Ending.ERROR || e == Ending.NO_ROUTE || e == Ending.RESET;
         if (e != Ending.MISS && e != Ending.MOOT && e != Ending.CANCELLED) {
-            h.seen++;
-            h.failing += Math.max(NEWEST, 1 / (1 + h.seen)) * ((bad ? 1 : 0) - h.failing);
+            h.health.ended(bad);
             boolean late = o.latency() > k.mean + STUCK * k.deviation;
             boolean lost = e == Ending.RESET || e == Ending.TIMEOUT && late;
             if (lost || e == Ending.OK) lossy += 0.5 * NEWEST * ((lost ? 1 : 0) - lossy);
@@ -848,7 +838,7 @@
                 q.overdue = true;
                 strain(now, h, OVERDUE, true, false);
             }
-            if (now >= stuckAt(q) && q.out == 1 && spare >= 1) rescue(now, q, h);
+            if (now >= stuckAt(q) && q.out == 1 && furtherAttempts.isEnough()) rescue(now, q, h);
             wake(now, Math.max(now + 2 * TICK, stuckAt(q)));
         }
         for (Group g : groups.values()) {
@@ -869,7 +859,7 @@
         double typical = 0;
         for (Kind k : kinds) typical += k.mean / kinds.length;
         long from = Math.max(h.accruedAt, awakeSince);
-        h.owed += h.inFlight * Math.max(0, now - from) / (typical * Math.max(1, h.stretch));
+        h.owed += h.inFlight * Math.max(0, now - from) / (typical * Math.max(1, h.health.stretch()));
         h.accruedAt = now;
         if (h.inFlight + h.unanswered == 0) rested(now, h);
     }
@@ -917,14 +907,15 @@
 
     /** Moves a repeatable request off a host: by a second copy, or by calling the first one off. */
     private void rescue(long now, Open q, Host from) {
-        if (q.kind.of.repeat() == Repeat.UNSAFE || !mayRepeat(now, q) || q.out > 1 || spare < 1) return;
+        if (q.kind.of.repeat() == Repeat.UNSAFE || !mayRepeat(now, q) || q.out > 1) return;
+        if (!furtherAttempts.isEnough()) return;
         if (settings.limits().secondCopies() && q.repeatable()) {
             Host h = choose(now, q);
             if (h == null || h == from) return;
-            spare--;
+            furtherAttempts.spend();
             send(now, q, h);
         } else if (settings.limits().cancelling() && (from.silent || losesAnswers())) {
-            spare--;
+            furtherAttempts.spend();
             callOff(q);
         }
     }
--- a/src/main/java/mintstair/decision/RouterState.java
+++ b/src/main/java/mintstair/decision/RouterState.java
@@ -26,10 +26,11 @@
         long listedStart, pollDue, goneAt;
         long position = SplitterApi.UNKNOWN;
         long lag = Long.MAX_VALUE;
-        long toldAt, replicaAt, answeredAt, accruedAt, fadedAt;
+        long toldAt, replicaAt, answeredAt, accruedAt;
         long heardAt = NEVER, polledAt = NEVER, missAt = NEVER, fullAt = NEVER, silentAt = NEVER;
         int inFlight, lost, unanswered;
-        double stretch = 1, failing, owed, seen;
+        final HostHealth health = new HostHealth();
+        double owed;
 
         Host(String name, String zone, Group group, ConcurrencyLimit asPrimary) {
             this.name = name;
--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -78,6 +78,7 @@
     private long answeredAt;
     private long turnSince;
     private Exchange exchange;
+    private ClientEnd why = ClientEnd.LEFT;
     private Recorder.Conversation record = Recorder.Conversation.NONE;
 
     protected ClientSession(Front front, Connection<?> connection, Framer framer) {
@@ -105,6 +106,7 @@
     protected abstract byte[] noRoomWords();
 
     final void turnAway() {
+        endsAs(ClientEnd.NO_ROOM);
         end(noRoomWords());
     }
 
@@ -179,6 +181,7 @@
         intake.end();
         front.loop.execute(() -> {
             closed = true;
+            front.counters.clientEnded(why);
             forget();
             record.ended();
             front.left(this);
@@ -188,6 +191,11 @@
         });
     }
 
+    /** Notes why the connection is going to end; the first reason stands. */
+    private void endsAs(ClientEnd reason) {
+        why = why == ClientEnd.LEFT ? reason : why;
+    }
+
     /** Ends what has been waited for long enough: a start-up, the rest of a message, a client that does not read. */
     final void sweep(long now) {
         if (lingers) {
@@ -206,6 +214,7 @@
     /** What an ending client still waits for is given up: it is told so by its last words, or by the close. */
     private void cutOff(long now) {
         if (exchange == null || writing > 0 || last == null) {
+            endsAs(ClientEnd.NOT_READING);
             closed = true;
             connection.terminateSilently();
             return;
@@ -250,12 +259,18 @@
     /** Ends with its last words what waits for the rest of a message, where no request is held. */
     final void endUnfinished() {
         if (!closed && exchange == null && commands.isEmpty() && framer.pending() > 0) {
+            endsAs(ClientEnd.DRAINED);
             end(lastWords("this proxy is ending, and the message was not finished"));
         }
     }
 
-    /** Closes now, where no request is held, else after its answer. */
-    final void drain() {
+    /** Closes now, where no request is held, else after its answer, for this reason. */
+    final void drain(ClientEnd reason) {
+        endsAs(reason);
+        drain();
+    }
+
+    private void drain() {
         closing = true;
         if (!closed && exchange == null && writing == 0 && framer.pending() == 0 && commands.isEmpty()) {
             if (deaf) {
@@ -316,6 +331,7 @@
     }
 
     protected final void close() {
+        endsAs(ClientEnd.QUIT);
         closed = true;
         deaf = true;
         connection.closeSilently();
@@ -343,6 +359,7 @@
 
     private void broken(String error) {
         front.counters.malformed++;
+        endsAs(ClientEnd.PROTOCOL_ERROR);
         end(lastWords(error));
     }
 
@@ -397,6 +414,7 @@
             @Override
             public void cut() {
                 // In the middle of a message: no client takes what it has for the whole.
+                endsAs(ClientEnd.ANSWER_BROKE_OFF);
                 exchange = null;
                 closed = true;
                 connection.terminateSilently();
--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -132,7 +132,7 @@
             first.turnAway();
         } else {
             counters.clientsIdledOut++;
-            first.drain();
+            first.drain(ClientEnd.IDLED_OUT);
         }
         return true;
     }
@@ -143,7 +143,7 @@
         sessions.stream().filter(session -> session.hasAsked() && session.idleSince() <= before)
             .min(Comparator.comparingLong(ClientSession::idleSince)).ifPresent(idlest -> {
                 counters.clientsIdledOut++;
-                idlest.drain();
+                idlest.drain(ClientEnd.IDLED_OUT);
             });
     }
 
@@ -235,7 +235,7 @@
     /** Drains: lets every client go that has no request here. */
     public void drain() {
         for (ClientSession session : List.copyOf(sessions)) {
-            session.drain();
+            session.drain(ClientEnd.DRAINED);
         }
     }
 
--- a/src/main/java/mintstair/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -59,6 +59,8 @@
         Future<?> guard;
         boolean closed;
         Hosts.Sent flows;
+        /** How its last attempt that has ended did. */
+        ConnectionEnd lastEnd;
 
         Taken(Exchange exchange) {
             this.exchange = exchange;
@@ -285,6 +287,9 @@
             return;
         }
         counters.sent++;
+        if (d.attempt() > 0) {
+            counters.retried(t.out.isEmpty() ? t.lastEnd : null);
+        }
         boolean[] ended = new boolean[1];
         Hosts.Sent sent = hosts.send(d.host(), t.exchange.request().statement(), d.writeBy(), until, new Hosts.Receiver() {
             @Override
@@ -341,6 +346,7 @@
     private void attemptEnded(Taken t, Directive.Send d, long sentAt, Reply reply) {
         boolean flowed = t.out.remove(d.attempt()) == t.flows && t.flows != null;
         counters.ended(reply.end());
+        t.lastEnd = reply.end();
         if (reply.end().isServed() && (flowed || t.flows == null)) {
             answer(t, new Answer.Served(d.host(), reply.body()));
         } else if (flowed && !t.exchange.isOver()) {
--- a/src/main/java/mintstair/serve/Proxy.java
+++ b/src/main/java/mintstair/serve/Proxy.java
@@ -175,6 +175,7 @@
             join();
         }
         hangUps.take(() -> reload(file));
+        loop.execute(this::publish);
         loop.every(PUBLISH_EVERY, this::publish);
         loop.every(HEAP_EVERY, this::tellHeap);
         loop.at(loop.now() + OVERLAP, () -> services.forEach(service -> service.front.mostClients(share.clients())));
--- a/src/main/java/mintstair/stats/Counters.java
+++ b/src/main/java/mintstair/stats/Counters.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicLong;
 import mintstair.request.Answer;
 import mintstair.request.AttemptVerdict;
@@ -40,6 +41,8 @@
     private final long[] ends = new long[ConnectionEnd.values().length];
     private final long[] heldBack = new long[AttemptVerdict.values().length];
     private final Map<String, Long> rulesBroken = new LinkedHashMap<>();
+    private final Map<String, Long> clientsEnded = new TreeMap<>();
+    private final Map<String, Long> retried = new TreeMap<>();
 
     public void ended(ConnectionEnd end) {
         ends[end.ordinal()]++;
@@ -50,6 +53,16 @@
         heldBack[why.ordinal()]++;
     }
 
+    /** A client's connection ended, for this reason. */
+    public void clientEnded(Enum<?> why) {
+        clientsEnded.merge(name(why), 1L, Long::sum);
+    }
+
+    /** A further attempt for a request was sent, after one that ended so, or beside one that is out where that is null. */
+    public void retried(ConnectionEnd after) {
+        retried.merge(after == null ? "beside_another" : name(after), 1L, Long::sum);
+    }
+
     /** A rule was found broken: a fault of the program. */
     public void ruleBroken(String rule) {
         rulesBroken.merge(rule, 1L, Long::sum);
@@ -81,6 +94,8 @@
         sum.add("attempts", written.get());
         sum.add("rules_broken", rulesBroken.values().stream().mapToLong(Long::longValue).sum());
         rulesBroken.forEach((rule, count) -> sum.add("rule_broken." + rule, count));
+        clientsEnded.forEach((why, count) -> sum.add("clients_ended." + why, count));
+        retried.forEach((after, count) -> sum.add("retried_after." + after, count));
         for (AttemptVerdict why : AttemptVerdict.values()) {
             if (why != AttemptVerdict.MAY_BEGIN) {
                 sum.add("held_back." + name(why), heldBack[why.ordinal()]);
@@ -111,6 +126,7 @@
                 line.append(" held_back_").append(name(why)).append('=').append(heldBack[why.ordinal()]);
             }
         }
+        line.append(" clients_ended=").append(clientsEnded).append(" retried_after=").append(retried);
         line.append(" rules_broken=").append(rulesBroken);
         return line.toString();
     }
