--- a/src/test/java/mintstair/decision/ColdRampTest.java
+++ b/src/test/java/mintstair/decision/ColdRampTest.java
@@ -127,7 +127,7 @@
     }
 
     private static void holds(String what, double load, List<String> cold, List<String> gone) {
-        for (int routers : new int[] {3, 20, 30, 120}) {
+        for (int routers : new int[] {1, 2, 3, 20, 30, 120}) {
             for (long seed = 0; seed < 10; seed++) {
                 Play play = new Play(routers, seed * 31 + routers);
                 play.play(load * CAPACITY * (4 - gone.size()), cold, gone);
