Count a client's time from when its last answer was written, not from when the loop knew

Found by a whole run of the tests: AttemptRulesTest failed with "told 1998 ms of 1600 left". Trace: a client that has its answer sends its next request before the loop comes to the task that notes the answer as written; where the loop is then busy for 400 ms, that note is 400 ms late, and the next request's time was counted from it. The moment is taken where the write completes.

--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -441,9 +441,11 @@
             new EmptyCompletionHandler<WriteResult>() {
                 @Override
                 public void completed(WriteResult result) {
+                    // The loop may come to it late, and the time of the next command runs from here.
+                    long writtenAt = front.loop.now();
                     front.loop.execute(() -> {
                         taken.run();
-                        written();
+                        written(writtenAt);
                     });
                 }
 
@@ -454,11 +456,11 @@
             });
     }
 
-    private void written() {
+    private void written(long at) {
         writing--;
         idleSince = front.loop.now();
         writingSince = idleSince;
-        answeredAt = idleSince;
+        answeredAt = Math.max(answeredAt, at);
         goOn();
         finish();
     }
