Reproduce SIGHUP before the program's first line, by the deploy file (known red)

Seen on: sent from the virtual machine's first moment until clients are served, SIGHUP ends the process with status 129, at each run, also where the starter ignores the signal.

--- a/src/test/java/mintstair/program/Program.java
+++ b/src/test/java/mintstair/program/Program.java
@@ -42,6 +42,10 @@
     }
 
     private Program(List<String> before, Map<String, String> environment, String... arguments) throws IOException {
+        this(command(before, arguments), environment);
+    }
+
+    private static List<String> command(List<String> before, String... arguments) {
         List<String> command = new ArrayList<>(before);
         command.addAll(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -52,6 +56,10 @@
                 System.getProperty("java.class.path"),
                 "mintstair.Main"));
         command.addAll(List.of(arguments));
+        return command;
+    }
+
+    private Program(List<String> command, Map<String, String> environment) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().putAll(environment);
         process = builder.start();
@@ -100,6 +108,22 @@
         return program;
     }
 
+    /**
+     * A proxy with this configuration, started by the line that the deploy file has for it, with the classes under test
+     * in place of the jar.
+     */
+    static Program deployed(String text, boolean ignoringReloadSignal) throws IOException {
+        Path config = Files.writeString(Files.createTempDirectory("mintstair").resolve("config.json"), text);
+        String ignoring = ignoringReloadSignal ? "trap '' HUP; " : "";
+        String classes = "-cp " + System.getProperty("java.class.path") + " mintstair.Main";
+        String line = DeployFile.run().replace("-jar target/mintstair.jar", classes);
+        Program program = new Program(
+                List.of("/bin/sh", "-c", ignoring + "exec /bin/sh -c \"$0\"", line),
+                Map.of("NODE_CONFIG", config.toString()));
+        program.config = config;
+        return program;
+    }
+
     /** A proxy with this configuration whose clocks and system calls are the shim's. */
     static Program shimmed(FaultShim shim, String text) throws IOException {
         Path config = Files.writeString(Files.createTempDirectory("mintstair").resolve("config.json"), text);
