Have SIGHUP ignored until the program takes it over, by JNA, before it reads its file

Symptom: SIGHUP before the program's first line ended a proxy with status 129; under nohup it lived and was never reloaded. Cause: the virtual machine's own handler stands before any Java code, and where the signal is ignored the machine refuses handlers for it. Ruled out: blocking the signal (the machine unblocks it before it has a handler), -Xrs (SIGTERM would lose its hook), an incubator interface. Change: run ignores it in the shell's first line; ReloadSignal ends that through the C library, with no moment in which it is fatal. The soak sends signals at any moment again, and starts processes by the deploy file's line.

--- a/src/main/java/mintstair/serve/ConfigurationCheck.java
+++ b/src/main/java/mintstair/serve/ConfigurationCheck.java
@@ -57,6 +57,7 @@
             TCPNIOTransport transport,
             ProtocolService service,
             ControlCommands commands) {
+        new ReloadSignal();
         new EndpointWatch(
                 loop,
                 transport,
--- a/src/main/java/mintstair/serve/ReloadSignal.java
+++ b/src/main/java/mintstair/serve/ReloadSignal.java
@@ -4,9 +4,10 @@
 import sun.misc.SignalHandler;
 
 /**
- * Receives the reload signal, SIGHUP, from the process's first moment on: without a handler the virtual machine would
- * end. Signals that arrive before a listener is set are kept as one, so that a reload during start-up is not lost.
- * Safe for use by several threads.
+ * Receives the reload signal, SIGHUP. The virtual machine's own handler, which stands before the program's first line,
+ * would end the process; a starter that ignores the signal keeps it away until this takes over. What arrives before is
+ * lost, so that the configuration has to be read after it. Signals between that and the listener are kept as one, so
+ * that a reload during start-up is not lost. Safe for use by several threads.
  */
 public final class ReloadSignal {
     private static final String SIGHUP = "HUP";
@@ -24,13 +25,25 @@
 
     /** Takes over this signal; {@code received} runs after each, on the signal's thread. */
     ReloadSignal(String signal, Runnable received) {
-        SignalHandler previous = Signal.handle(new Signal(signal), raised -> {
+        Signal reload = new Signal(signal);
+        SignalHandler handler = raised -> {
             receive();
             received.run();
-        });
-        if (previous == SignalHandler.SIG_IGN) {
+        };
+        if (Signal.handle(reload, handler) == SignalHandler.SIG_IGN) {
+            takeOverIgnored(reload, handler);
+        }
+    }
+
+    private static void takeOverIgnored(Signal reload, SignalHandler handler) {
+        try {
+            IgnoredSignal.stopIgnoring(reload);
+            Signal.handle(reload, handler);
+        } catch (LinkageError e) {
             System.err.println(
-                    "mintstair: SIG" + signal + " is ignored, as by nohup: settings are not read anew while this runs");
+                    "mintstair: " + reload + " is ignored, as by nohup, and can't be taken over: settings are"
+                            + " not read anew while this runs: "
+                            + String.valueOf(e.getMessage()).split("\n")[0]);
         }
     }
 
--- a/src/test/java/mintstair/program/DeployFile.java
+++ b/src/test/java/mintstair/program/DeployFile.java
@@ -13,8 +13,22 @@
 
     private DeployFile() {}
 
-    /** The shell's line that starts one proxy. */
-    public static String run() throws IOException {
+    /** The shell's line that starts one proxy, with the classes under test in place of the jar. */
+    public static String runClassesUnderTest() throws IOException {
+        return run().replace(
+                        "-jar target/mintstair.jar",
+                        "-cp " + System.getProperty("java.class.path") + " mintstair.Main");
+    }
+
+    /** Whether the shell has become the virtual machine. */
+    public static boolean isVirtualMachine(Process process) {
+        return process.info()
+                .command()
+                .map(command -> Path.of(command).endsWith("java"))
+                .orElse(false);
+    }
+
+    private static String run() throws IOException {
         Matcher line = RUN.matcher(Files.readString(FILE));
         if (!line.find()) {
             throw new IOException(FILE + " has no run");
--- a/src/test/java/mintstair/program/Program.java
+++ b/src/test/java/mintstair/program/Program.java
@@ -115,10 +115,8 @@
     static Program deployed(String text, boolean ignoringReloadSignal) throws IOException {
         Path config = Files.writeString(Files.createTempDirectory("mintstair").resolve("config.json"), text);
         String ignoring = ignoringReloadSignal ? "trap '' HUP; " : "";
-        String classes = "-cp " + System.getProperty("java.class.path") + " mintstair.Main";
-        String line = DeployFile.run().replace("-jar target/mintstair.jar", classes);
         Program program = new Program(
-                List.of("/bin/sh", "-c", ignoring + "exec /bin/sh -c \"$0\"", line),
+                List.of("/bin/sh", "-c", ignoring + "exec /bin/sh -c \"$0\"", DeployFile.runClassesUnderTest()),
                 Map.of("NODE_CONFIG", config.toString()));
         program.config = config;
         return program;
--- a/src/test/java/mintstair/program/StartSignalsTest.java
+++ b/src/test/java/mintstair/program/StartSignalsTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.nio.file.Path;
 import mintstair.standin.Client;
 import mintstair.standin.Discovery;
 import mintstair.standin.PgHost;
@@ -45,21 +44,11 @@
                 .replace("\"name\":\"any\"", "\"name\":\"" + className + "\"");
     }
 
-    /** The shell and what it executes have other names than the program that they become. */
-    private static void awaitVirtualMachine(Program program) {
-        Program.await(
-                () -> !program.process.isAlive()
-                        || program.process
-                                .info()
-                                .command()
-                                .map(command -> Path.of(command).endsWith("java"))
-                                .orElse(false),
-                "the virtual machine");
-    }
-
     /** Signals come one after the other from the virtual machine's first moment until clients are served. */
     private void survivesSignalsUntilItServes(Program program) throws Exception {
-        awaitVirtualMachine(program);
+        Program.await(
+                () -> !program.process.isAlive() || DeployFile.isVirtualMachine(program.process),
+                "the virtual machine");
         int sent = 0;
         while (program.process.isAlive() && program.lines("serving on ").isEmpty()) {
             program.signal("HUP");
--- a/src/test/java/mintstair/soak/SoakPlay.java
+++ b/src/test/java/mintstair/soak/SoakPlay.java
@@ -262,25 +262,31 @@
         ledger.listWasInTrouble(from, Ledger.now());
     }
 
-    /** Settings anew, for a process that serves: before its program runs, SIGHUP ends a virtual machine. */
+    /** Settings anew, at whatever moment of the process's life. */
     private void reload(SoakProxy proxy, Random chance) throws IOException, InterruptedException {
-        if (!proxy.isServing()) {
-            return;
-        }
+        proxy.awaitVirtualMachine();
         proxy.configure(
                 chance.nextBoolean() ? deployment.agent.port() : deployment.otherAgent.port(), deployment.known());
         proxy.signal("HUP");
     }
 
-    /** Settings anew several times in a row, the end, and settings anew once more while it starts. */
+    /** Settings anew several times in a row, the end, and both again within the first second of the next process. */
     private void signalSeries(SoakProxy proxy, Random chance) throws IOException, InterruptedException {
+        reloadOften(proxy, chance);
+        proxy.restart(chance.nextBoolean());
+        reloadOften(proxy, chance);
+        if (chance.nextBoolean()) {
+            Thread.sleep(chance.nextInt(700));
+            proxy.restart(false);
+            reloadOften(proxy, chance);
+        }
+    }
+
+    private void reloadOften(SoakProxy proxy, Random chance) throws IOException, InterruptedException {
         for (int i = 1 + chance.nextInt(MOST_RELOADS); i > 0; i--) {
             reload(proxy, chance);
-            Thread.sleep(chance.nextInt(100));
+            Thread.sleep(chance.nextInt(200));
         }
-        proxy.restart(chance.nextBoolean());
-        Thread.sleep(chance.nextInt(700));
-        reload(proxy, chance);
     }
 
     /** Every third proxy is told to end, nearly at once, and starts with nothing remembered. */
--- a/src/test/java/mintstair/soak/SoakProxy.java
+++ b/src/test/java/mintstair/soak/SoakProxy.java
@@ -7,8 +7,10 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import mintstair.program.DeployFile;
 import mintstair.standin.FaultShim;
 
 /** One proxy of the play: the program as a process, started again under its name and address whenever it ends. */
@@ -60,14 +62,17 @@
     /** Writes the configuration: where discovery is, and the list as last known. */
     void configure(int discovery, String known) throws IOException {
         reloads++;
+        // A process that starts may read the file at any moment: it is replaced whole.
+        Path written = config.resolveSibling(config.getFileName() + ".new");
         Files.writeString(
-                config,
+                written,
                 "{\"name\":\"n" + number + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
                         + discovery
                         + "\",\"seed\":\"" + Long.toHexString(number * 7919L + 1)
                         + "\",\"limits\":{\"sockets\":1024},\"known\":{\"rev\":0,\"all\":true,\"targets\":["
                         + known + "]},\"settings\":"
                         + SETTINGS.replace("PROXIES", "" + proxies).replace("RETRY", "" + (1 + reloads % 2)) + "}");
+        Files.move(written, config, StandardCopyOption.ATOMIC_MOVE);
     }
 
     void start() throws IOException {
@@ -75,21 +80,11 @@
     }
 
     private Process launch() throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-XX:+UseSerialGC",
-                        "-XX:TieredStopAtLevel=1",
-                        "-Xms32m",
-                        "-Xmx64m",
-                        "-Xss512k",
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        "mintstair.Main",
-                        "serve",
-                        config.toString())
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", DeployFile.runClassesUnderTest())
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         builder.environment().putAll(shim.environment());
+        builder.environment().put("NODE_CONFIG", config.toString());
         launches++;
         return builder.start();
     }
@@ -191,6 +186,13 @@
         }
     }
 
+    /** Waits until the process is the virtual machine: the shell before it can't be kept from ending by a signal. */
+    void awaitVirtualMachine() throws InterruptedException {
+        while (process.isAlive() && !DeployFile.isVirtualMachine(process)) {
+            Thread.sleep(1);
+        }
+    }
+
     /** Whether it runs, which it should at all times. */
     boolean isAlive() {
         return process.isAlive();
