--- a/src/test/java/mintstair/decision/SimulatedDeployment.java
+++ b/src/test/java/mintstair/decision/SimulatedDeployment.java
@@ -342,6 +342,12 @@
         requestsPerSecond = ofCapacity * CAPACITY * hosts.size();
     }
 
+    /** From so long from now on, and for so long, clients ask so many times as much. */
+    void crowd(long from, long length, double factor) {
+        after(from, () -> requestsPerSecond *= factor);
+        after(from + length, () -> requestsPerSecond /= factor);
+    }
+
     /** The list names these hosts with this state, and their starts, to all routers within 50 ms. */
     void tell(EndpointUpdateType type, List<String> names, EndpointState state) {
         List<EndpointEntry> entries = new ArrayList<>();
--- a/src/test/java/mintstair/decision/SlowStartBudgetTest.java
+++ b/src/test/java/mintstair/decision/SlowStartBudgetTest.java
@@ -14,6 +14,9 @@
  * What hosts in slow start are sent by all routers together, which share nothing, in virtual time: within any span of
  * the settings' length no more than the budget, and what is left for chance. The routers are few or many and of uneven
  * traffic; the clients ask for four fifths of what all hosts can do, or suddenly for twice as much as they can.
+ *
+ * <p>Most ways begin with a calm time, in which routers learn what hosts do. Routers that are started under an overload
+ * have no such time.
  */
 class SlowStartBudgetTest {
     private static final int[] ROUTERS = {2, 8, 30, 120};
@@ -23,6 +26,12 @@
     /** Routers learn for so long what hosts do, before the fault begins. */
     private static final long CALM = 12 * SECOND;
 
+    private static final double[] UNLEARNED_LOADS = {0.8, 2, 4};
+    /** Routers that start under load have so long before the fault, and clients ask for twice as much from then on. */
+    private static final long UNLEARNED = 2 * SECOND;
+
+    private static final long CROWD = 2 * SECOND;
+
     private static void start(SimulatedDeployment play, String name) {
         play.host(name).restart();
         play.tell(EndpointUpdateType.DELTA, List.of(name), EndpointState.SERVING);
@@ -46,11 +55,17 @@
             this(load, routers, seed, 0, 0);
         }
 
-        Play play(Consumer<SimulatedDeployment> fault) {
+        Play play(Beginning beginning, Consumer<SimulatedDeployment> fault) {
             SimulatedDeployment deployment = new SimulatedDeployment(routers, seed * 31 + routers);
-            deployment.load(CALM_LOAD);
-            deployment.run(CALM);
-            deployment.load(load);
+            if (beginning == Beginning.CALM) {
+                deployment.load(CALM_LOAD);
+                deployment.run(CALM);
+                deployment.load(load);
+            } else {
+                deployment.load(load);
+                deployment.crowd(UNLEARNED, CROWD, 2);
+                deployment.run(UNLEARNED);
+            }
             long servedBefore = deployment.servedRequests;
             long askedBefore = deployment.askedRequests;
             fault.accept(deployment);
@@ -72,16 +87,31 @@
         }
     }
 
+    /** How a play begins: with a time to learn in, or with routers that start into the load, which doubles soon. */
+    private enum Beginning {
+        CALM,
+        UNDER_LOAD
+    }
+
     private static void holds(Consumer<SimulatedDeployment> fault) {
+        holds(Beginning.CALM, LOADS, fault);
+    }
+
+    private static void holdsWithoutCalm(Consumer<SimulatedDeployment> fault) {
+        holds(Beginning.UNDER_LOAD, UNLEARNED_LOADS, fault);
+    }
+
+    private static void holds(Beginning beginning, double[] loads, Consumer<SimulatedDeployment> fault) {
         List<Play> plays = new ArrayList<>();
-        for (double load : LOADS) {
+        for (double load : loads) {
             for (int routers : ROUTERS) {
                 for (long seed = 0; seed < SEEDS; seed++) {
                     plays.add(new Play(load, routers, seed));
                 }
             }
         }
-        List<Play> played = plays.parallelStream().map(play -> play.play(fault)).toList();
+        List<Play> played =
+                plays.parallelStream().map(play -> play.play(beginning, fault)).toList();
         if (Boolean.getBoolean("slowstart.print")) {
             played.forEach(System.out::println);
         }
@@ -109,26 +139,12 @@
 
     @Test
     void replicaWhoseSetBecomesUnreachable() {
-        holds(play -> {
-            start(play, "r1");
-            play.run(SECOND);
-            fail(play, "p", "r2", "r3");
-            promote(play, "r1");
-            play.run(10 * SECOND);
-        });
+        holds(SlowStartBudgetTest::loseSet);
     }
 
     @Test
     void replicaWhoseSetIsRemovedFromTheList() {
-        holds(play -> {
-            start(play, "r1");
-            play.run(SECOND);
-            fail(play, "p", "r2", "r3");
-            play.run(300 * MS);
-            play.tell(EndpointUpdateType.DELTA, List.of("p", "r2", "r3"), EndpointState.REMOVED);
-            promote(play, "r1");
-            play.run(10 * SECOND);
-        });
+        holds(SlowStartBudgetTest::removeSet);
     }
 
     @Test
@@ -146,12 +162,7 @@
 
     @Test
     void primaryThatStartsBeforeAllRoutersDo() {
-        holds(play -> {
-            start(play, "p");
-            play.run(SECOND);
-            play.restartRouters();
-            play.run(10 * SECOND);
-        });
+        holds(SlowStartBudgetTest::restartPrimaryAndRouters);
     }
 
     @Test
@@ -243,4 +254,63 @@
             play.run(10 * SECOND);
         });
     }
+
+    private static void loseSet(SimulatedDeployment play) {
+        start(play, "r1");
+        play.run(SECOND);
+        fail(play, "p", "r2", "r3");
+        promote(play, "r1");
+        play.run(10 * SECOND);
+    }
+
+    private static void removeSet(SimulatedDeployment play) {
+        start(play, "r1");
+        play.run(SECOND);
+        fail(play, "p", "r2", "r3");
+        play.run(300 * MS);
+        play.tell(EndpointUpdateType.DELTA, List.of("p", "r2", "r3"), EndpointState.REMOVED);
+        promote(play, "r1");
+        play.run(10 * SECOND);
+    }
+
+    private static void restartPrimaryAndRouters(SimulatedDeployment play) {
+        start(play, "p");
+        play.run(SECOND);
+        play.restartRouters();
+        play.run(10 * SECOND);
+    }
+
+    @Test
+    void replicaThatStartsBeforeRoutersHaveLearned() {
+        holdsWithoutCalm(play -> {
+            start(play, "r1");
+            play.run(12 * SECOND);
+        });
+    }
+
+    @Test
+    void replicaWhoseSetIsUnreachableBeforeRoutersHaveLearned() {
+        holdsWithoutCalm(SlowStartBudgetTest::loseSet);
+    }
+
+    @Test
+    void replicaWhoseSetIsRemovedBeforeRoutersHaveLearned() {
+        holdsWithoutCalm(SlowStartBudgetTest::removeSet);
+    }
+
+    @Test
+    void primaryThatStartsBeforeRoutersHaveLearned() {
+        holdsWithoutCalm(SlowStartBudgetTest::restartPrimaryAndRouters);
+    }
+
+    @Test
+    void setThatReturnsBeforeRoutersHaveLearned() {
+        holdsWithoutCalm(play -> {
+            fail(play, "p", "r1", "r2", "r3");
+            play.run(SECOND);
+            play.hosts.values().forEach(SimulatedDeployment.Host::restart);
+            play.restartRouters();
+            play.run(10 * SECOND);
+        });
+    }
 }
