Rest a host's budget in slow start on answers alone, soon after a router's start

Symptom: routers that start under an overload sent a host in slow start up to 8.7 times the chance over its budget. Cause, traced over all routers each 250 ms: (1) what hosts do was assumed to be the demand for each host that is there, also long after the start; with the set's peers lost the sum over 120 routers came to 50 to 126 requests a second where a host does 40. (2) Work was counted in a class's latency, assumed from its objective before any was measured, so that what was answered and what was sent differed by up to four times in the same requests. (3) A rise of the demand was seen after 2 s: 297 a second were reckoned with where 884 came. Change: the demand is assumed for the first 0.3 s only, fading; work is a multiple of the mean request (RequestWork); rises are seen within 0.4 s; with that nine tenths of the part are used in place of seven.

--- a/src/main/java/mintstair/decision/ClassStatistics.java
+++ b/src/main/java/mintstair/decision/ClassStatistics.java
@@ -6,7 +6,7 @@
  */
 final class ClassStatistics {
     /** Weight of the newest latency in the mean and in the mean deviation. */
-    private static final double NEWEST_WEIGHT = 0.02;
+    static final double NEWEST_WEIGHT = 0.02;
     /**
      * Before any attempt is measured, the mean latency and the deviation are assumed to be the objective divided by
      * this.
@@ -17,6 +17,9 @@
 
     final RequestClass requestClass;
     private double mean;
+    /** What was measured of the mean: all of it but what the assumption still stands for. */
+    private double measuredPart;
+
     private double deviation;
     /** How much of the mean still rests on the assumption, from 1 to 0. */
     private double assumedShare = 1;
@@ -36,6 +39,7 @@
     void inherit(ClassStatistics former) {
         long objectiveChange = requestClass.latencyObjectiveMicros() - former.requestClass.latencyObjectiveMicros();
         assumedShare = former.assumedShare;
+        measuredPart = former.measuredPart;
         mean = former.mean + former.assumedShare * objectiveChange / OBJECTIVE_TO_ASSUMED_LATENCY;
         deviation =
                 Math.max(0, former.deviation + former.assumedShare * objectiveChange / OBJECTIVE_TO_ASSUMED_LATENCY);
@@ -57,6 +61,7 @@
     void recordLatency(long latency) {
         double difference = latency - mean;
         mean += NEWEST_WEIGHT * difference;
+        measuredPart += NEWEST_WEIGHT * (latency - measuredPart);
         assumedShare *= 1 - NEWEST_WEIGHT;
         deviation += NEWEST_WEIGHT * (Math.abs(difference) - deviation);
     }
@@ -66,6 +71,16 @@
         return mean;
     }
 
+    /** How much of the mean rests on what was assumed, from 1 to 0. */
+    double assumedShare() {
+        return assumedShare;
+    }
+
+    /** The part of the mean that was measured. */
+    double measuredPart() {
+        return measuredPart;
+    }
+
     /** A latency that is {@code deviations} mean deviations above the mean. */
     double latencyAbove(double deviations) {
         return mean + deviations * deviation;
--- a/src/main/java/mintstair/decision/HostThroughput.java
+++ b/src/main/java/mintstair/decision/HostThroughput.java
@@ -2,22 +2,32 @@
 
 /**
  * How much of this router's work one warm host does in a second, in the mean over all hosts. What all routers together
- * find so is no more than a host can do, however much clients ask for: only answers count. A time in which no host was
- * there to answer leaves it as it was. Times are microseconds. Not safe for use by several threads.
+ * find so is no more than a host can do, however much clients ask for: only answers count. A router that has just begun
+ * assumes for 0.3 s, and less from moment to moment, that hosts do what clients ask for; it knows little of
+ * that then either. Later it errs on the low side. A time in which no host was there to answer leaves it as it was.
+ * Times are microseconds. Not safe for use by several threads.
  */
 final class HostThroughput {
     private static final double MICROS_PER_SECOND = 1e6;
-    private static final double MEMORY_MICROS = 30_000_000;
-    private static final long ADVANCE_INTERVAL_MICROS = 100_000;
+    private static final double LONGEST_MEMORY_MICROS = 30_000_000;
+    private static final double SHORTEST_MEMORY_MICROS = 500_000;
     /**
-     * Before answers have shown it hosts are assumed to do what clients ask for. The assumption counts as much as what
-     * each host did in this time, as clients may ask for far more.
+     * The memory is this part of the time observed, so that a router whose hosts all start with it follows what they
+     * come to do.
      */
-    private static final double ASSUMED_MICROS = 500_000;
+    private static final double MEMORY_OF_OBSERVED = 0.5;
+
+    private static final long ADVANCE_INTERVAL_MICROS = 100_000;
+    /** Added to the time of each host: the first answers of a short time are taken for chance. */
+    private static final double UNSURE_MICROS = 100_000;
+    /** For so long after it began to observe, ever less is assumed of what has not shown. */
+    private static final double ASSUMING_MICROS = 300_000;
+
     /** The work answered, and the time in which each warm host could have answered; cold ones count in part. */
     private double answeredWork;
 
     private double hostMicros;
+    private double observedMicros;
     private long advancedAt = Endpoint.NEVER;
     private int hosts = 1;
     private double warmHosts = 1;
@@ -48,9 +58,15 @@
         hosts = hostsThere;
         warmHosts = warmThere;
         meanSize = sizes / hostsThere;
-        double kept = Math.exp(-passed / MEMORY_MICROS);
+        observedMicros += passed;
+        double kept = Math.exp(-passed / memoryMicros());
         answeredWork *= kept;
-        hostMicros = hostMicros * kept + warmThere * passed;
+        hostMicros = (hostMicros + warmThere * passed) * kept;
+    }
+
+    private double memoryMicros() {
+        double growing = Math.max(SHORTEST_MEMORY_MICROS, MEMORY_OF_OBSERVED * observedMicros);
+        return Math.min(LONGEST_MEMORY_MICROS, growing);
     }
 
     /**
@@ -63,8 +79,9 @@
     }
 
     private double perMeanHostSecond(double demandPerSecond) {
-        double assumedMicros = warmHosts * ASSUMED_MICROS;
-        double assumedPerHost = demandPerSecond / hosts;
-        return (answeredWork * MICROS_PER_SECOND + assumedPerHost * assumedMicros) / (hostMicros + assumedMicros);
+        double unsureMicros = warmHosts * UNSURE_MICROS;
+        double assuming = Math.max(0, 1 - observedMicros / ASSUMING_MICROS);
+        double assumedWork = assuming * demandPerSecond / hosts * unsureMicros / MICROS_PER_SECOND;
+        return (answeredWork + assumedWork) * MICROS_PER_SECOND / (hostMicros + unsureMicros);
     }
 }
--- a/src/main/java/mintstair/decision/InFlightRequest.java
+++ b/src/main/java/mintstair/decision/InFlightRequest.java
@@ -54,14 +54,15 @@
             long sessionPosition,
             boolean overQuota,
             double admissionSample,
-            int maxAttempts) {
+            int maxAttempts,
+            double work) {
         this.request = request;
         this.statistics = statistics;
         arrivedAt = now;
         deadline = now + request.timeoutMicros();
         this.sessionPosition = sessionPosition;
         this.overQuota = overQuota;
-        work = statistics.mean();
+        this.work = work;
         this.admissionSample = admissionSample;
         endpoints = new Endpoint[maxAttempts];
         sentAt = new long[maxAttempts];
--- a/src/main/java/mintstair/decision/LoadFeedback.java
+++ b/src/main/java/mintstair/decision/LoadFeedback.java
@@ -10,11 +10,13 @@
 
     private final RouterClock clock;
     private final ReplicaSelector replicas;
+    private final RequestWork requestWork;
     private final AnswerLossEstimator answerLoss;
 
-    LoadFeedback(RouterClock clock, ReplicaSelector replicas, AnswerLossEstimator answerLoss) {
+    LoadFeedback(RouterClock clock, ReplicaSelector replicas, RequestWork requestWork, AnswerLossEstimator answerLoss) {
         this.clock = clock;
         this.replicas = replicas;
+        this.requestWork = requestWork;
         this.answerLoss = answerLoss;
     }
 
@@ -26,6 +28,7 @@
         if (outcome == AttemptOutcome.SUCCESS) {
             endpoint.outliers.recordLatency(result.latencyMicros() / statistics.mean());
             statistics.recordLatency(result.latencyMicros());
+            requestWork.recordLatency(result.latencyMicros());
         }
         if (isEndpointsDoing(outcome)) {
             endpoint.outliers.recordOutcome(isFailure(outcome));
--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -33,6 +33,7 @@
     private final ReplicationMonitor replication = new ReplicationMonitor();
     private final SessionTokens tokens = new SessionTokens();
     private final RequestDemand demand = new RequestDemand();
+    private final RequestWork requestWork = new RequestWork();
     private final HostThroughput throughput = new HostThroughput();
     private final SlowStartBudget slowStartBudget;
     private final HealthChecker healthChecker;
@@ -55,7 +56,7 @@
         clock = new RouterClock(now);
         ticks = new TickTimer(actions);
         requestRate = new RequestRate(now);
-        acceptor = new RequestAcceptor(this::settings, classes, requestRate, fleetShare, tokens, random);
+        acceptor = new RequestAcceptor(this::settings, classes, requestRate, fleetShare, tokens, requestWork, random);
         adopt(now, settings);
         pooled = PooledLimits.create(fleetShare.effectiveFleetSize());
         subscription = new ListSubscription(actions, random);
@@ -83,7 +84,7 @@
         hedging = new HedgingPolicy(clock, answerLoss);
         retries = new RetryPolicy(this::settings, pooled);
         requests = new OpenRequests(this::settings, retries, actions);
-        load = new LoadFeedback(clock, replicas, answerLoss);
+        load = new LoadFeedback(clock, replicas, requestWork, answerLoss);
         observer = new AttemptObserver(
                 this::settings,
                 clock,
--- a/src/main/java/mintstair/decision/ReplicaSetDemand.java
+++ b/src/main/java/mintstair/decision/ReplicaSetDemand.java
@@ -6,7 +6,7 @@
  */
 final class ReplicaSetDemand {
     private static final double MEMORY_MICROS = 20_000_000;
-    private static final double RECENT_MICROS = 2_000_000;
+    private static final double RECENT_MICROS = 400_000;
     private static final double MICROS_PER_SECOND = 1e6;
     /** So many requests more or less within the recent time are taken for chance. */
     private static final double CHANCE = 1;
--- a/src/main/java/mintstair/decision/RequestAcceptor.java
+++ b/src/main/java/mintstair/decision/RequestAcceptor.java
@@ -19,6 +19,7 @@
     private final FleetShare fleetShare;
     private final SessionTokens tokens;
     private final Random random;
+    private final RequestWork requestWork;
     private final TenantQuotas quotas = new TenantQuotas();
 
     RequestAcceptor(
@@ -27,12 +28,14 @@
             RequestRate requestRate,
             FleetShare fleetShare,
             SessionTokens tokens,
+            RequestWork requestWork,
             Random random) {
         this.settings = settings;
         this.classes = classes;
         this.requestRate = requestRate;
         this.fleetShare = fleetShare;
         this.tokens = tokens;
+        this.requestWork = requestWork;
         this.random = random;
     }
 
@@ -51,7 +54,8 @@
                 sessionPosition(now, request, statistics.requestClass),
                 isOverQuota(now, request),
                 admissionSample(request),
-                settings.get().limits().maxAttempts());
+                settings.get().limits().maxAttempts(),
+                requestWork.of(statistics));
     }
 
     /** The position that a session's read must see; one that the request carries counts back from the arrival. */
--- a/src/main/java/mintstair/decision/SlowStartBudget.java
+++ b/src/main/java/mintstair/decision/SlowStartBudget.java
@@ -19,7 +19,7 @@
      * The part of the budget that is used in the mean. The rest is for what is sent beyond the mean of the demand:
      * further attempts, requests that waited, a demand that rises within seconds.
      */
-    private static final double USED_PART = 0.7;
+    private static final double USED_PART = 0.9;
     /**
      * A router whose part is more than so many requests in the span is held to it by counting, and needs no margin: for
      * it the chance is a second bound.
