--- a/src/main/java/mintstair/membership/MembershipSockets.java
+++ b/src/main/java/mintstair/membership/MembershipSockets.java
@@ -11,6 +11,11 @@
 final class MembershipSockets implements AutoCloseable {
     private static final int MAX_BIND_ATTEMPTS = 20;
 
+    /** Opens the datagram socket that is to be registered with this selector. */
+    interface DatagramOpener {
+        DatagramChannel open(Selector selector) throws IOException;
+    }
+
     private final Selector selector;
     private final DatagramChannel datagrams;
     private final ConnectionChecker connectionChecker;
@@ -34,9 +39,16 @@
      */
     static MembershipSockets bind(InetSocketAddress listen, String name, ConnectionChecker.Listener listener)
             throws IOException {
+        return bind(listen, name, listener, selector -> DatagramChannel.open(StandardProtocolFamily.INET));
+    }
+
+    /** As {@link #bind(InetSocketAddress, String, ConnectionChecker.Listener)}, with sockets of this opener. */
+    static MembershipSockets bind(
+            InetSocketAddress listen, String name, ConnectionChecker.Listener listener, DatagramOpener opener)
+            throws IOException {
         Selector selector = Selector.open();
         for (int attempt = 1; ; attempt++) {
-            DatagramChannel datagrams = DatagramChannel.open(StandardProtocolFamily.INET);
+            DatagramChannel datagrams = opener.open(selector);
             int port = listen.getPort();
             try {
                 datagrams.bind(listen);
--- a/src/test/java/mintstair/front/ClientSessionTest.java
+++ b/src/test/java/mintstair/front/ClientSessionTest.java
@@ -150,8 +150,9 @@
     @Test
     void unfinishedMessageEndsTheSessionWhenTheProxyEnds() throws IOException {
         try (Client.Pg client = new Client.Pg(port)) {
-            client.raw(new byte[] {'Q', 0, 0});
-            Program.await(() -> front.unprocessedBytes.get() == 0, "its start to be processed");
+            // What came with a command that was answered is known to the session; no bytes may be under way yet otherwise.
+            client.raw(join(EMPTY_QUERY, new byte[] {'Q', 0, 0}));
+            assertEquals("empty", client.answer());
 
             loop.execute(front::endUnfinished);
 
