Keep schedules alive through errors, and calls that end with no first line

Symptoms and causes: an Error ended the store's and the registry's schedules in silence, as only exceptions were caught; an agent's rejection by line ends alone lost its call, as the first line was taken from an empty array; a start that found no datagram socket lost a selector; a replay whose last send failed at once waited 100 ms for a network on which nothing could come. Change: GuardedTask runs each task of a schedule, and FirstLine stands for nine copies of the same expression. The registry's listener can't keep the calls of a step from being made. Replayer ends when its schedule has. Looked for elsewhere: EventLoop.every and its tasks catch all; ScheduledExecutors are used nowhere else; no other split()[0] of a message.

--- a/src/main/java/mintstair/Main.java
+++ b/src/main/java/mintstair/Main.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import mintstair.adapter.Adapter;
 import mintstair.config.ConfigException;
+import mintstair.config.FirstLine;
 import mintstair.config.NodeConfig;
 import mintstair.config.OperatorConfig;
 import mintstair.config.RegistryConfig;
@@ -39,7 +40,7 @@
         try {
             run(List.of(args));
         } catch (ConfigException | IllegalArgumentException | IOException e) {
-            System.err.println("mintstair: " + String.valueOf(e.getMessage()).split("\n")[0]);
+            System.err.println("mintstair: " + FirstLine.of(e));
             NonBlockingOutput.drainInstalled(LAST_LINES_MILLIS);
             System.exit(FAILURE_STATUS);
         }
--- a/src/main/java/mintstair/config/ConfigException.java
+++ b/src/main/java/mintstair/config/ConfigException.java
@@ -34,17 +34,13 @@
 
     /** This file cannot be used, for the first line of the cause's message. */
     static ConfigException inFile(Path file, Exception cause) {
-        String reason = cause instanceof NoSuchFileException ? "no such file" : firstLine(cause);
+        String reason = cause instanceof NoSuchFileException ? "no such file" : FirstLine.of(cause);
         return new ConfigException(file + ": " + reason, cause, file, jsonPathOf(cause));
     }
 
     /** What this place holds, which is no file, cannot be used, for the first line of the cause's message. */
     static ConfigException inPlace(String place, Exception cause) {
-        return new ConfigException(place + ": " + firstLine(cause), cause, null, jsonPathOf(cause));
-    }
-
-    private static String firstLine(Exception cause) {
-        return String.valueOf(cause.getMessage()).split("\n")[0];
+        return new ConfigException(place + ": " + FirstLine.of(cause), cause, null, jsonPathOf(cause));
     }
 
     private static String jsonPathOf(Exception cause) {
--- a/src/main/java/mintstair/membership/MembershipSockets.java
+++ b/src/main/java/mintstair/membership/MembershipSockets.java
@@ -47,6 +47,21 @@
             InetSocketAddress listen, String name, ConnectionChecker.Listener listener, DatagramOpener opener)
             throws IOException {
         Selector selector = Selector.open();
+        try {
+            return bindOn(selector, listen, name, listener, opener);
+        } catch (IOException e) {
+            selector.close();
+            throw e;
+        }
+    }
+
+    private static MembershipSockets bindOn(
+            Selector selector,
+            InetSocketAddress listen,
+            String name,
+            ConnectionChecker.Listener listener,
+            DatagramOpener opener)
+            throws IOException {
         for (int attempt = 1; ; attempt++) {
             DatagramChannel datagrams = opener.open(selector);
             int port = listen.getPort();
@@ -61,7 +76,6 @@
             } catch (IOException e) {
                 datagrams.close();
                 if (listen.getPort() != 0 || attempt == MAX_BIND_ATTEMPTS) {
-                    selector.close();
                     throw new IOException(
                             "membership: " + listen.getHostString() + ":" + port + ": " + e.getMessage(), e);
                 }
--- a/src/main/java/mintstair/registry/RegistryClient.java
+++ b/src/main/java/mintstair/registry/RegistryClient.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import mintstair.config.RegistryConfig;
+import mintstair.log.GuardedTask;
 import mintstair.registry.consul.ConsulEditor;
 import mintstair.registry.consul.ConsulTransport;
 import mintstair.registry.etcd.EtcdEditor;
@@ -126,7 +127,7 @@
         });
         if (snapshotWriter != null) {
             thread.scheduleWithFixedDelay(
-                    () -> runLoggingFailure(this::writeSnapshot),
+                    new GuardedTask("registry", this::writeSnapshot),
                     config.snapshotEveryMicros(),
                     config.snapshotEveryMicros(),
                     TimeUnit.MICROSECONDS);
@@ -157,16 +158,7 @@
     }
 
     private void execute(Runnable task) {
-        thread.execute(() -> runLoggingFailure(task));
-    }
-
-    private static void runLoggingFailure(Runnable task) {
-        try {
-            task.run();
-        } catch (RuntimeException e) {
-            System.err.println("registry: unexpected: " + e);
-            e.printStackTrace();
-        }
+        thread.execute(new GuardedTask("registry", task));
     }
 
     private void onEvent(RegistryEvent event) {
@@ -178,9 +170,10 @@
         carryOut(view.tick(nowMicros()));
     }
 
+    /** A listener that fails keeps neither the calls of the step from being made nor the next wake-up from coming. */
     private void carryOut(ViewStep step) {
         if (!step.updates().isEmpty()) {
-            listener.onUpdates(step.updates(), view);
+            new GuardedTask("registry", () -> listener.onUpdates(step.updates(), view)).run();
         }
         metricsAtMicros = nowMicros();
         metrics = view.metrics(metricsAtMicros);
@@ -200,7 +193,7 @@
         }
         wakeUpAtMicros = atMicros;
         long delayMicros = Math.max(0, atMicros - nowMicros());
-        wakeUp = thread.schedule(() -> runLoggingFailure(this::onWakeUp), delayMicros, TimeUnit.MICROSECONDS);
+        wakeUp = thread.schedule(new GuardedTask("registry", this::onWakeUp), delayMicros, TimeUnit.MICROSECONDS);
     }
 
     private void log(String text) {
--- a/src/main/java/mintstair/registry/RegistryException.java
+++ b/src/main/java/mintstair/registry/RegistryException.java
@@ -17,9 +17,4 @@
     public RegistryException(String message, Throwable cause) {
         super(message, cause);
     }
-
-    /** The first line of a text of the registry or of a library. */
-    public static String firstLine(String text) {
-        return String.valueOf(text).split("\n")[0];
-    }
 }
--- a/src/main/java/mintstair/registry/TlsFiles.java
+++ b/src/main/java/mintstair/registry/TlsFiles.java
@@ -22,6 +22,7 @@
 import javax.net.ssl.TrustManager;
 import javax.net.ssl.TrustManagerFactory;
 import mintstair.config.ConfigException;
+import mintstair.config.FirstLine;
 import mintstair.config.RegistryConfig;
 
 /**
@@ -137,8 +138,7 @@
     }
 
     private static ConfigException notUsable(Path file, Exception cause) {
-        String reason =
-                cause instanceof NoSuchFileException ? "no such file" : RegistryException.firstLine(cause.getMessage());
+        String reason = cause instanceof NoSuchFileException ? "no such file" : FirstLine.of(cause.getMessage());
         return configException(file + ": " + reason, cause);
     }
 
--- a/src/main/java/mintstair/registry/consul/ConsulApi.java
+++ b/src/main/java/mintstair/registry/consul/ConsulApi.java
@@ -13,9 +13,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import mintstair.config.FirstLine;
 import mintstair.config.Json;
 import mintstair.config.RegistryConfig;
-import mintstair.registry.RegistryException;
 import mintstair.registry.TlsFiles;
 import mintstair.registry.view.RegistryEntry;
 import mintstair.registry.view.RegistryEvent;
@@ -120,7 +120,7 @@
 
     private static String errorText(byte[] body) {
         int length = Math.min(body.length, MAX_ERROR_TEXT_BYTES);
-        return RegistryException.firstLine(new String(body, 0, length, StandardCharsets.UTF_8));
+        return FirstLine.of(new String(body, 0, length, StandardCharsets.UTF_8));
     }
 
     private static Reason reasonOf(int status, String text) {
--- a/src/main/java/mintstair/registry/consul/ConsulTransport.java
+++ b/src/main/java/mintstair/registry/consul/ConsulTransport.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import mintstair.config.FirstLine;
 import mintstair.config.RegistryConfig;
-import mintstair.registry.RegistryException;
 import mintstair.registry.RegistryTransport;
 import mintstair.registry.view.PollView;
 import mintstair.registry.view.RegistryCall;
@@ -104,7 +104,7 @@
         try {
             entries = empty ? List.of() : ConsulApi.parseEntries(response.body());
         } catch (IOException | IllegalArgumentException e) {
-            String detail = RegistryException.firstLine(e.getMessage());
+            String detail = FirstLine.of(e.getMessage());
             listener.accept(new RegistryEvent.CallFailed(listCallId, Reason.MALFORMED, detail));
             return;
         }
@@ -163,7 +163,7 @@
     private static String describe(Throwable failure) {
         boolean wrapped = failure instanceof CompletionException && failure.getCause() != null;
         Throwable cause = wrapped ? failure.getCause() : failure;
-        return cause instanceof ConnectException ? "refused" : RegistryException.firstLine(cause.getMessage());
+        return cause instanceof ConnectException ? "refused" : FirstLine.of(cause.getMessage());
     }
 
     private void fail(RegistryEvent.CallFailed failure) {
--- a/src/main/java/mintstair/registry/etcd/EtcdEditor.java
+++ b/src/main/java/mintstair/registry/etcd/EtcdEditor.java
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import mintstair.config.FirstLine;
 import mintstair.config.RegistryConfig;
 import mintstair.registry.RegistryEditor;
 import mintstair.registry.RegistryException;
@@ -133,7 +134,7 @@
 
     private static String describe(StatusRuntimeException failure) {
         Status status = failure.getStatus();
-        return status.getCode() + " " + RegistryException.firstLine(status.getDescription());
+        return status.getCode() + " " + FirstLine.of(status.getDescription());
     }
 
     @Override
--- a/src/main/java/mintstair/registry/etcd/EtcdMessages.java
+++ b/src/main/java/mintstair/registry/etcd/EtcdMessages.java
@@ -6,8 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import mintstair.config.FirstLine;
 import mintstair.config.RegistryConfig;
-import mintstair.registry.RegistryException;
 import mintstair.registry.etcd.api.AuthenticateRequest;
 import mintstair.registry.etcd.api.Event;
 import mintstair.registry.etcd.api.KeyValue;
@@ -132,7 +132,7 @@
             return new RegistryEvent.Compacted(callId);
         }
         Reason reason = reasonOf(status.getCode(), lowerCase);
-        String detail = status.getCode() + " " + RegistryException.firstLine(description);
+        String detail = status.getCode() + " " + FirstLine.of(description);
         return new RegistryEvent.CallFailed(callId, reason, detail);
     }
 
--- a/src/main/java/mintstair/serve/ConfigurationReloader.java
+++ b/src/main/java/mintstair/serve/ConfigurationReloader.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import mintstair.config.FirstLine;
 import mintstair.config.NodeConfig;
 import mintstair.proxy.EventLoop;
 import mintstair.routing.RequestRouter;
@@ -80,7 +81,7 @@
 
     private void reject(RuntimeException failure) {
         loop.execute(() -> services.reloadCounters().reloadsFailed++);
-        String reason = String.valueOf(failure.getMessage()).split("\n")[0];
+        String reason = FirstLine.of(failure);
         System.err.println("mintstair: the old settings stay: " + reason);
     }
 
--- a/src/main/java/mintstair/serve/ReloadSignal.java
+++ b/src/main/java/mintstair/serve/ReloadSignal.java
@@ -1,5 +1,6 @@
 package mintstair.serve;
 
+import mintstair.config.FirstLine;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
 
@@ -43,7 +44,7 @@
             System.err.println(
                     "mintstair: " + reload + " is ignored, as by nohup, and can't be taken over: settings are"
                             + " not read anew while this runs: "
-                            + String.valueOf(e.getMessage()).split("\n")[0]);
+                            + FirstLine.of(e));
         }
     }
 
--- a/src/main/java/mintstair/serve/StoreService.java
+++ b/src/main/java/mintstair/serve/StoreService.java
@@ -8,9 +8,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import mintstair.config.FirstLine;
 import mintstair.config.Json;
 import mintstair.config.ListReader;
 import mintstair.config.OperatorConfig;
+import mintstair.log.GuardedTask;
 import mintstair.request.EndpointList;
 import mintstair.store.Store;
 
@@ -58,16 +60,7 @@
     }
 
     private void schedule(Runnable task, Duration interval) {
-        executor.scheduleWithFixedDelay(() -> runGuarded(task), 0, interval.toSeconds(), TimeUnit.SECONDS);
-    }
-
-    /** An executor drops a periodic task for good when one run of it throws. */
-    private static void runGuarded(Runnable task) {
-        try {
-            task.run();
-        } catch (RuntimeException | StackOverflowError e) {
-            System.err.println("store: unexpected: " + e);
-        }
+        executor.scheduleWithFixedDelay(new GuardedTask("store", task), 0, interval.toSeconds(), TimeUnit.SECONDS);
     }
 
     /** A list that cannot be read changes nothing, and is reported once. */
@@ -80,7 +73,7 @@
         try {
             hostsListener.accept(ListReader.read(Json.read(hosts.getBytes(StandardCharsets.UTF_8))));
         } catch (IOException | IllegalArgumentException e) {
-            System.err.println("store: " + HOSTS_KEY + ": " + firstLine(e));
+            System.err.println("store: " + HOSTS_KEY + ": " + FirstLine.of(e));
         }
     }
 
@@ -89,14 +82,10 @@
         try {
             store.put(stateKey, reported);
         } catch (IOException e) {
-            System.err.println("store: no majority: " + firstLine(e));
+            System.err.println("store: no majority: " + FirstLine.of(e));
         }
     }
 
-    private static String firstLine(Exception failure) {
-        return String.valueOf(failure.getMessage()).split("\n")[0];
-    }
-
     @Override
     public void close() throws IOException {
         executor.shutdownNow();
--- a/src/main/java/mintstair/traffic/Replayer.java
+++ b/src/main/java/mintstair/traffic/Replayer.java
@@ -93,6 +93,10 @@
             for (ReplaySchedule.Dispatch dispatch : schedule.due(clock.nanos())) {
                 send(dispatch);
             }
+            if (schedule.isFinished()) {
+                // The last of it was not to be sent: nothing is to come that could be waited for.
+                return played;
+            }
             awaitNetworkOrDueTime();
             handleReadyConnections();
             closeConnectionsBehindDeadline();
--- a/src/main/java/mintstair/traffic/TrafficCommand.java
+++ b/src/main/java/mintstair/traffic/TrafficCommand.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import mintstair.config.ConfigException;
+import mintstair.config.FirstLine;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -42,8 +43,7 @@
     }
 
     private static int reportUnusable(String message) {
-        String firstLine = message.split("\n")[0];
-        System.err.println("mintstair: " + firstLine);
+        System.err.println("mintstair: " + FirstLine.of(message));
         return STATUS_UNUSABLE;
     }
 
--- a/src/test/java/mintstair/front/ClientSessionTest.java
+++ b/src/test/java/mintstair/front/ClientSessionTest.java
@@ -150,7 +150,8 @@
     @Test
     void unfinishedMessageEndsTheSessionWhenTheProxyEnds() throws IOException {
         try (Client.Pg client = new Client.Pg(port)) {
-            // What came with a command that was answered is known to the session; no bytes may be under way yet otherwise.
+            // What came with a command that was answered is known to the session; no bytes may be under way yet
+            // otherwise.
             client.raw(join(EMPTY_QUERY, new byte[] {'Q', 0, 0}));
             assertEquals("empty", client.answer());
 
--- a/src/test/java/mintstair/traffic/ReplayerTest.java
+++ b/src/test/java/mintstair/traffic/ReplayerTest.java
@@ -150,6 +150,25 @@
         assertTrue(inReplay, "it asks for what was written in the replay: " + positionMillis);
     }
 
+    /** A send that fails at once is the end of its request: the replay waited 100 ms more for the network. */
+    @Test
+    void replayEndsAtOnceWhereItsLastSendFails() throws Exception {
+        // No stream can be opened to a broadcast address: the call fails at once.
+        InetSocketAddress unusable = new InetSocketAddress("127.255.255.255", 9);
+        List<RecordedExchange> recorded = List.of(ExchangeBuilder.keyed(BEGIN_MILLIS, "a0", Result.SERVED)
+                .query("any")
+                .build());
+        long beganNanos = System.nanoTime();
+        for (int i = 0; i < 10; i++) {
+            try (Replayer replayer =
+                    new Replayer(recorded, ReplayOptions.ALL, unusable, Recording.Protocol.POSTGRESQL, "run")) {
+                assertEquals(Result.NONE, replayer.play().get(0).replayed().result());
+            }
+        }
+        long tookMillis = (System.nanoTime() - beganNanos) / 1_000_000;
+        assertTrue(tookMillis < 900, "ten replays took " + tookMillis + " ms");
+    }
+
     /**
      * Writes replayed through a front while the primary breaks off some of them, and then for good: none is sent
      * twice.
