--- a/src/test/java/mintstair/standin/PgHost.java
+++ b/src/test/java/mintstair/standin/PgHost.java
@@ -15,6 +15,8 @@
 
     /** Lets the bytes behind an answer go that TRAILED asks for. */
     public final Semaphore trail = new Semaphore(0);
+    /** Tells that bytes behind an answer have gone out. */
+    public final Semaphore trailed = new Semaphore(0);
 
     /** Of a long value; a torn one ends in its middle when this lets it go. */
     public static final int LONG = 4 * 1024 * 1024;
@@ -77,6 +79,7 @@
             if (act == Act.TRAILED) {
                 trail.acquireUninterruptibly();
                 out.write(answer);
+                trailed.release();
             }
         }
     }
