Ask whether a read has begun before a resting connection takes a request

Symptom: a client could get the reply of another, where a host had sent bytes that belong to no request while its connection rested. Cause: isClean looked whether all reads were processed, then whether the socket held anything. The network thread may have emptied the socket and not yet counted its read; that lasts as long as the thread waits for a core. Ruled out: bytes that come after the request was written (the test waits until they are sent), and reads that wait for the loop (they are counted). Change: a first filter of the chain marks the begin of each read; the socket is asked first, then whether a read has begun or is not processed. In that order no byte that came before escapes. Looked for elsewhere: clients' connections are asked on the thread that reads them, and have no such gap.

--- a/src/main/java/mintstair/backend/HostConnection.java
+++ b/src/main/java/mintstair/backend/HostConnection.java
@@ -55,6 +55,8 @@
     private Recorder.Conversation transcript = Recorder.Conversation.NONE;
     /** Set once by the network thread, before its first read. */
     private volatile ReadThrottle throttle;
+    /** Whether the network thread is between the begin of a read and its count; written by that thread. */
+    private volatile boolean reading;
     /** Written by the network thread. */
     private volatile int reads;
     /** Of {@link #reads}, those that the event loop has processed; only there. */
@@ -129,12 +131,14 @@
 
     /**
      * Whether neither bytes nor the end have arrived since the last reply: they would be read as the next one. The
-     * socket itself is asked, as the network thread may not have read it yet.
+     * socket itself is asked, as the network thread may not have read it yet; and only then whether that thread has read
+     * or is reading, as it may have emptied the socket a moment before.
      */
     boolean isClean() {
-        if (reads != processedReads) {
-            return false;
-        }
+        return isSocketEmpty() && !reading && reads == processedReads;
+    }
+
+    private boolean isSocketEmpty() {
         try {
             return ((SocketChannel) ((NIOConnection) connection).getChannel()).read(ByteBuffer.allocate(1)) == 0;
         } catch (IOException e) {
@@ -184,10 +188,16 @@
         pool.closed(this);
     }
 
+    @Override
+    public void readBegins() {
+        reading = true;
+    }
+
     @Override
     @SuppressWarnings("NonAtomicVolatileUpdate") // only the thread that reads this connection writes it
     public void read(ByteBuffer bytes) {
         reads++;
+        reading = false;
         int length = bytes.remaining();
         throttle.read(length);
         loop.execute(() -> {
--- a/src/main/java/mintstair/backend/HostConnector.java
+++ b/src/main/java/mintstair/backend/HostConnector.java
@@ -5,6 +5,7 @@
 import mintstair.proxy.EventLoop;
 import mintstair.stats.Counters;
 import mintstair.wire.MessageFilter;
+import mintstair.wire.ReadBeginFilter;
 import mintstair.wire.ReadThrottle;
 import mintstair.wire.Recorder;
 import org.glassfish.grizzly.Connection;
@@ -43,6 +44,7 @@
         this.counters = counters;
         handler = TCPNIOConnectorHandler.builder(transport)
                 .processor(FilterChainBuilder.stateless()
+                        .add(new ReadBeginFilter(filter))
                         .add(new TransportFilter())
                         .add(filter)
                         .build())
--- a/src/main/java/mintstair/wire/MessageFilter.java
+++ b/src/main/java/mintstair/wire/MessageFilter.java
@@ -16,6 +16,9 @@
 public final class MessageFilter extends BaseFilter {
     /** Takes the events of one connection. */
     public interface Listener {
+        /** The socket is about to be read, whether or not it holds anything; on the network thread. */
+        default void readBegins() {}
+
         /** Takes bytes that were read, and owns the buffer; on the network thread. */
         void read(ByteBuffer bytes);
 
@@ -47,6 +50,11 @@
         connection.addCloseListener((Closeable closed, ICloseType by) -> listener.closed());
     }
 
+    /** The listener of a connection; null where it has none yet. */
+    Listener listener(Connection<?> connection) {
+        return listeners.get(connection);
+    }
+
     @Override
     public NextAction handleAccept(FilterChainContext context) {
         Listener listener = onAccept.apply(context.getConnection());
