--- a/src/main/java/mintstair/decision/RequestWork.java
+++ b/src/main/java/mintstair/decision/RequestWork.java
@@ -8,7 +8,7 @@
 final class RequestWork {
     /** Weight of the newest latency in the mean over all classes, as in that of each class. */
     private static final double NEWEST_WEIGHT = ClassStatistics.NEWEST_WEIGHT;
-    /** What is less is not told from nothing. */
+    /** A class never counts as less, however swift its requests are. */
     private static final double LEAST_WORK = 0.05;
 
     private double weightedLatencies;
