--- a/src/main/java/mintstair/serve/IgnoredSignal.java
+++ b/src/main/java/mintstair/serve/IgnoredSignal.java
@@ -18,8 +18,8 @@
      * @throws LinkageError where the C library can't be called
      */
     static void stopIgnoring(Signal signal) {
-        NativeLibrary c = NativeLibrary.getProcess();
-        Function withoutEffect = c.getFunction("abs");
-        c.getFunction("signal").invokePointer(new Object[] {signal.getNumber(), withoutEffect});
+        NativeLibrary cLibrary = NativeLibrary.getProcess();
+        Function withoutEffect = cLibrary.getFunction("abs");
+        cLibrary.getFunction("signal").invokePointer(new Object[] {signal.getNumber(), withoutEffect});
     }
 }
