--- a/review/lib/MongoHost.java
+++ b/review/lib/MongoHost.java
@@ -50,6 +50,16 @@
             return now;
         }
 
+        /** When the newest write up to this moment was committed; 0 if there is none. */
+        synchronized long lastWrite(long upToMillis) {
+            for (int i = entries.size() - 1; i >= 0; i--) {
+                if (entries.get(i).committedMillis <= upToMillis) {
+                    return entries.get(i).committedMillis;
+                }
+            }
+            return 0;
+        }
+
         /** The newest value of the key that was committed up to this moment; 0 if there is none. */
         synchronized long value(String key, long upToMillis) {
             for (int i = entries.size() - 1; i >= 0; i--) {
@@ -107,13 +117,14 @@
     private BsonDocument reply(BsonDocument command) {
         long now = System.currentTimeMillis();
         long applied = primary ? now : position.at(now);
+        long written = log.lastWrite(applied);
         if (command.containsKey("hello")) {
             return new BsonDocument("isWritablePrimary", BsonBoolean.valueOf(primary))
                     .append("secondary", BsonBoolean.valueOf(!primary))
-                    .append("lastWrite", new BsonDocument("lastWriteDate", new BsonDateTime(applied)))
+                    .append("lastWrite", new BsonDocument("lastWriteDate", new BsonDateTime(written)))
                     .append("localTime", new BsonDateTime(now))
                     .append("maxWireVersion", new BsonInt32(21))
-                    .append("operationTime", operationTime(applied))
+                    .append("operationTime", operationTime(written))
                     .append("ok", new BsonDouble(1));
         }
         String comment = command.containsKey("comment") ? command.getString("comment").getValue() : "";
@@ -124,7 +135,7 @@
                         .append("errmsg", new BsonString("not primary"))
                         .append("code", new BsonInt32(NOT_WRITABLE_PRIMARY))
                         .append("codeName", new BsonString("NotWritablePrimary"))
-                        .append("operationTime", operationTime(applied));
+                        .append("operationTime", operationTime(written));
             }
             BsonDocument document = command.getArray("documents").get(0).asDocument();
             String key = document.getString("ref").getValue();
@@ -147,7 +158,7 @@
                                 .append("ns", new BsonString("orders.entries"))
                                 .append("firstBatch", batch))
                 .append("ok", new BsonDouble(1))
-                .append("operationTime", operationTime(applied));
+                .append("operationTime", operationTime(written));
     }
 
     private BsonTimestamp operationTime(long millis) {
