Hold session reads to the latest time at which a write may have committed

Cause: MongoProtocol made one position of operationTime, rounded down to the second, for two uses. As what a host has applied that is right; as what a session's reads must see it is early by up to a second. A trial build logged what was remembered, required and known at each read: in 22 of 22 stale reads the required position was the commit rounded down, and what was known of the replica was true. Ruled out by the same trace: a replica taken for more recent than it is, a write that was not remembered, an offset of clocks.

Change: HostReport and AttemptResult hold a lower bound (appliedPosition) and an upper bound (commitPosition).

The whole suite was not run on this commit.

--- a/src/main/java/mintstair/adapter/SimulatorSession.java
+++ b/src/main/java/mintstair/adapter/SimulatorSession.java
@@ -211,17 +211,12 @@
         long latencyMicros = in.readMicrosOrZero();
         boolean requestOver = in.nextToken() == JsonToken.VALUE_TRUE;
         long mark = (long) in.readNumber(0);
+        // Exact to the unit of the mark in either use: the simulator rounds a position down and a commit time up.
+        long position = positionOfMark(mark, target.settings);
         target.router.onAttemptEnded(
                 nowMicros,
                 new AttemptResult(
-                        id,
-                        attempt,
-                        host,
-                        outcome,
-                        latencyMicros,
-                        requestOver,
-                        roleOfMark(mark),
-                        positionOfMark(mark, target.settings)));
+                        id, attempt, host, outcome, latencyMicros, requestOver, roleOfMark(mark), position, position));
     }
 
     private static ReplicationRole roleOfMark(long mark) {
--- a/src/main/java/mintstair/backend/mongo/MongoProtocol.java
+++ b/src/main/java/mintstair/backend/mongo/MongoProtocol.java
@@ -18,7 +18,8 @@
 /**
  * The protocol of MongoDB hosts. A host reports its role and position in the fields of hello, in any reply that
  * contains them: isWritablePrimary, lastWrite.lastWriteDate and localTime. If these are missing, operationTime gives
- * the position with a resolution of one second.
+ * the position with a resolution of one second. The increment of operationTime is not used: nothing in a reply shows
+ * that the increments of two hosts can be compared.
  */
 public final class MongoProtocol implements Protocol {
     /** Error codes of a host that is not the primary, or cannot serve reads now; the command was not executed. */
@@ -114,7 +115,7 @@
 
     private static HostReport hostReport(BsonDocument body) {
         ReplicationRole role = role(body);
-        return new HostReport(role, positionMicros(body, role));
+        return new HostReport(role, appliedPosition(body, role), commitPosition(body));
     }
 
     private static ReplicationRole role(BsonDocument body) {
@@ -125,8 +126,11 @@
         return primary ? ReplicationRole.PRIMARY : ReplicationRole.REPLICA;
     }
 
-    /** Returns the position. That of a primary is its current time, no matter when it executed its last write. */
-    private static long positionMicros(BsonDocument body, ReplicationRole role) {
+    /**
+     * Returns a time up to which the host has applied all commits. That of a primary is its current time, no matter
+     * when it executed its last write.
+     */
+    private static long appliedPosition(BsonDocument body, ReplicationRole role) {
         if (role == ReplicationRole.PRIMARY && body.isDateTime("localTime")) {
             return body.getDateTime("localTime").getValue() * MICROS_PER_MILLI;
         }
@@ -135,9 +139,22 @@
         if (lastWrite != null && lastWrite.isDateTime()) {
             return lastWrite.asDateTime().getValue() * MICROS_PER_MILLI;
         }
-        if (body.isTimestamp("operationTime")) {
-            return body.getTimestamp("operationTime").getTime() * MICROS_PER_SECOND;
-        }
-        return HostReport.UNKNOWN_POSITION;
+        return body.isTimestamp("operationTime") ? operationSecond(body) : HostReport.UNKNOWN_POSITION;
+    }
+
+    /**
+     * Returns the end of the second in which the last operation before this reply was committed: that of the write, if
+     * the reply answers one.
+     */
+    private static long commitPosition(BsonDocument body) {
+        return body.isTimestamp("operationTime")
+                ? operationSecond(body) + MICROS_PER_SECOND - 1
+                : HostReport.UNKNOWN_POSITION;
+    }
+
+    /** Returns the start of the second of operationTime; the seconds of a timestamp are an unsigned number. */
+    private static long operationSecond(BsonDocument body) {
+        int seconds = body.getTimestamp("operationTime").getTime();
+        return Integer.toUnsignedLong(seconds) * MICROS_PER_SECOND;
     }
 }
--- a/src/main/java/mintstair/backend/pg/PgProtocol.java
+++ b/src/main/java/mintstair/backend/pg/PgProtocol.java
@@ -66,7 +66,7 @@
                 role = value == 1 ? ReplicationRole.PRIMARY : ReplicationRole.REPLICA;
             }
         }
-        return new HostReport(role, positionMicros);
+        return new HostReport(role, positionMicros, HostReport.UNKNOWN_POSITION);
     }
 
     /**
--- a/src/main/java/mintstair/backend/pg/PgReplyParser.java
+++ b/src/main/java/mintstair/backend/pg/PgReplyParser.java
@@ -138,7 +138,7 @@
             return null;
         }
         byte[] served = end == ConnectionEnd.SERVED ? body.toByteArray() : null;
-        return new HostReply(end, served, new HostReport(role, positionMicros));
+        return new HostReply(end, served, new HostReport(role, positionMicros, positionMicros));
     }
 
     private void advance(byte[] message, Expected wanted, Expected next, boolean valid) {
--- a/src/main/java/mintstair/decision/AttemptObserver.java
+++ b/src/main/java/mintstair/decision/AttemptObserver.java
@@ -101,16 +101,16 @@
     }
 
     private void recordPosition(long now, Endpoint endpoint, InFlightRequest request, AttemptResult result) {
-        boolean hasPosition = result.position() != Positions.UNKNOWN;
+        boolean hasPosition = result.appliedPosition() != Positions.UNKNOWN;
         if (hasPosition && result.role() == ReplicationRole.PRIMARY) {
-            primaryReported(now, endpoint, result.position());
+            primaryReported(now, endpoint, result.appliedPosition());
         }
         if (result.role() != ReplicationRole.REPLICA) {
             return;
         }
         if (hasPosition) {
-            long lag = positions.currentPosition(now) - result.position();
-            replication.positionReported(now, endpoint, result.position(), lag);
+            long lag = positions.currentPosition(now) - result.appliedPosition();
+            replication.positionReported(now, endpoint, result.appliedPosition(), lag);
         } else if (result.outcome() == AttemptOutcome.SUCCESS
                 && settings.get().replicaReadCheck() != ReplicaReadCheck.NONE) {
             // A replica that serves a checked read has reached the position that the read requires.
@@ -124,11 +124,24 @@
     private void recordSessionWrite(long now, InFlightRequest request, AttemptResult result) {
         String session = request.request.session();
         if (session != null && settings.get().remembersSessionTokens()) {
-            boolean hasPosition = result.position() != Positions.UNKNOWN;
-            tokens.writeAnswered(now, session, hasPosition ? result.position() : positions.currentPosition(now));
+            tokens.writeAnswered(now, session, commitPosition(now, request.request.replicaSet(), result));
         }
     }
 
+    /**
+     * Returns a position at or after the commit of an answered write, as early as is known. A host that reports the
+     * commit imprecisely reports a span; the commit is not later than the present either, unless the span begins after
+     * it, which shows that the clocks differ.
+     */
+    private long commitPosition(long now, int replicaSet, AttemptResult result) {
+        if (result.commitPosition() == Positions.UNKNOWN) {
+            return positions.currentPosition(now);
+        }
+        long present = positions.latestCommit(replicaSet, now);
+        boolean clocksDiffer = present < result.appliedPosition();
+        return clocksDiffer ? result.commitPosition() : Math.min(present, result.commitPosition());
+    }
+
     /** Records that a health check has ended; {@code status} is null if the host reported none. */
     void healthCheckEnded(long now, Endpoint endpoint, AttemptOutcome outcome, long latency, ReplicationStatus status) {
         HealthCheckState check = endpoint.healthCheck;
--- a/src/main/java/mintstair/decision/AttemptResult.java
+++ b/src/main/java/mintstair/decision/AttemptResult.java
@@ -10,7 +10,9 @@
  * @param host the host to which the attempt was sent
  * @param finished whether the request has its final response, through this attempt or earlier
  * @param role the replication role that the host reported
- * @param position the replication position that the host reported, or {@link Positions#UNKNOWN}
+ * @param appliedPosition a position up to which the host reported to have applied all commits, or
+ *     {@link Positions#UNKNOWN}
+ * @param commitPosition for a write that was served, a position at or after its commit, or {@link Positions#UNKNOWN}
  */
 public record AttemptResult(
         long id,
@@ -20,4 +22,5 @@
         long latencyMicros,
         boolean finished,
         ReplicationRole role,
-        long position) {}
+        long appliedPosition,
+        long commitPosition) {}
--- a/src/main/java/mintstair/decision/PositionClock.java
+++ b/src/main/java/mintstair/decision/PositionClock.java
@@ -87,6 +87,20 @@
         return offset == 0 || evidence.containsKey(replicaSet);
     }
 
+    /**
+     * Returns a position that no commit which this replica set has answered by now exceeds, or
+     * {@link ReadRequirement#UNREACHABLE_POSITION} if no report of its primary shows how its clock differs from the
+     * local one.
+     */
+    long latestCommit(int replicaSet, long now) {
+        Long ahead = evidence.get(replicaSet);
+        if (ahead == null) {
+            return ReadRequirement.UNREACHABLE_POSITION;
+        }
+        long ownOffset = ahead > TOLERANCE_MICROS ? ahead + ASSUMED_REPORT_AGE_MICROS : 0;
+        return now + Math.max(offset, ownOffset) + TOLERANCE_MICROS;
+    }
+
     /** Returns the local time at which a position of this replica set was current; never in the future. */
     long localTimeOf(int replicaSet, long now, long position) {
         boolean isCorrected = offset != 0 || replicaSetsBehind == evidence.size();
--- a/src/main/java/mintstair/routing/DecisionMapper.java
+++ b/src/main/java/mintstair/routing/DecisionMapper.java
@@ -46,7 +46,8 @@
                 event.latencyMicros(),
                 event.requestOver(),
                 event.report().role(),
-                event.report().position());
+                event.report().appliedPosition(),
+                event.report().commitPosition());
     }
 
     /** Returns the replication status that a host reported, or null if it reported no role. */
@@ -54,7 +55,7 @@
         if (report.role() == ReplicationRole.UNKNOWN) {
             return null;
         }
-        return new ReplicationStatus(report.position(), report.role());
+        return new ReplicationStatus(report.appliedPosition(), report.role());
     }
 
     static RoutingRequest request(long nowMicros, long number, int classIndex, ProxyRequest request) {
--- a/src/test/java/mintstair/decision/DecisionSchedule.java
+++ b/src/test/java/mintstair/decision/DecisionSchedule.java
@@ -361,7 +361,15 @@
         router.onAttemptEnded(
                 now,
                 new AttemptResult(
-                        key.id(), key.attempt(), host.name, outcome, now - sentAt, open.finished, role, position));
+                        key.id(),
+                        key.attempt(),
+                        host.name,
+                        outcome,
+                        now - sentAt,
+                        open.finished,
+                        role,
+                        position,
+                        position));
     }
 
     private ReplicationRole role(SimulatedHost host) {
--- a/src/test/java/mintstair/decision/EmbeddingExampleTest.java
+++ b/src/test/java/mintstair/decision/EmbeddingExampleTest.java
@@ -111,7 +111,8 @@
         now += 40_000;
         router.onAttemptEnded(
                 now,
-                new AttemptResult(1, 0, "db1", AttemptOutcome.SUCCESS, 40_000, true, ReplicationRole.PRIMARY, now));
+                new AttemptResult(
+                        1, 0, "db1", AttemptOutcome.SUCCESS, 40_000, true, ReplicationRole.PRIMARY, now, now));
         router.onRequest(now, new RoutingRequest(2, 1, 0, "ann", -1, false, 1_200_000, Positions.UNKNOWN));
         router.onHealthCheckEnded(
                 now, "db2", AttemptOutcome.SUCCESS, 300, new ReplicationStatus(now, ReplicationRole.REPLICA));
--- a/src/test/java/mintstair/decision/FleetTest.java
+++ b/src/test/java/mintstair/decision/FleetTest.java
@@ -555,6 +555,7 @@
                             latency,
                             true,
                             ReplicationRole.REPLICA,
+                            Positions.UNKNOWN,
                             Positions.UNKNOWN));
             if (i == 300) {
                 fixture.sentAttempts.clear();
--- a/src/test/java/mintstair/decision/ReadWriteSplitterTest.java
+++ b/src/test/java/mintstair/decision/ReadWriteSplitterTest.java
@@ -337,6 +337,7 @@
                                     latency,
                                     true,
                                     ReplicationRole.PRIMARY,
+                                    fixture.now,
                                     fixture.now));
                 }
             }
@@ -443,7 +444,7 @@
         fixture.router.onHealthCheckEnded(fixture.now, "unlisted", AttemptOutcome.SUCCESS, 1, null);
         fixture.router.onAttemptEnded(
                 fixture.now,
-                new AttemptResult(99, 0, "p", AttemptOutcome.SUCCESS, 1, true, ReplicationRole.PRIMARY, 0));
+                new AttemptResult(99, 0, "p", AttemptOutcome.SUCCESS, 1, true, ReplicationRole.PRIMARY, 0, 0));
         fixture.sendRequest(1, RouterFixture.EVENTUAL_READ);
         fixture.router.onClientDisconnected(fixture.now, 1);
         fixture.endAttempt(fixture.lastAttempt(), 0, AttemptOutcome.TIMEOUT);
--- a/src/test/java/mintstair/decision/RouterFixture.java
+++ b/src/test/java/mintstair/decision/RouterFixture.java
@@ -257,8 +257,19 @@
         return hasSharedSession ? "session" : "session " + seed + "/" + id;
     }
 
-    /** Delivers the end of an attempt with the role and position that the host reported. */
+    /** Delivers the end of an attempt with the role and the exact position that the host reported. */
     void endAttempt(SentAttempt sent, int attempt, AttemptOutcome outcome, ReplicationRole role, long position) {
+        endAttempt(sent, attempt, outcome, role, position, position);
+    }
+
+    /** Delivers the end of an attempt with the role and the bounds of the position that the host reported. */
+    void endAttempt(
+            SentAttempt sent,
+            int attempt,
+            AttemptOutcome outcome,
+            ReplicationRole role,
+            long appliedPosition,
+            long commitPosition) {
         router.onAttemptEnded(
                 now,
                 new AttemptResult(
@@ -269,7 +280,8 @@
                         now - sent.sentAt,
                         outcome == AttemptOutcome.SUCCESS,
                         role,
-                        position));
+                        appliedPosition,
+                        commitPosition));
     }
 
     /** Delivers the end of an attempt; the host reports its role if it replied, and no position. */
--- a/src/test/java/mintstair/decision/SimulatedDeployment.java
+++ b/src/test/java/mintstair/decision/SimulatedDeployment.java
@@ -246,7 +246,15 @@
             router.onAttemptEnded(
                     now,
                     new AttemptResult(
-                            id, attempt, host.name, outcome, now - sentAt, isServed, role, Positions.UNKNOWN));
+                            id,
+                            attempt,
+                            host.name,
+                            outcome,
+                            now - sentAt,
+                            isServed,
+                            role,
+                            Positions.UNKNOWN,
+                            Positions.UNKNOWN));
         }
 
         @Override
--- a/src/test/java/mintstair/routing/DecisionMapperTest.java
+++ b/src/test/java/mintstair/routing/DecisionMapperTest.java
@@ -64,7 +64,7 @@
         assertNull(DecisionMapper.status(HostReport.NONE));
         assertEquals(
                 new ReplicationStatus(5, ReplicationRole.REPLICA),
-                DecisionMapper.status(new HostReport(ReplicationRole.REPLICA, 5)));
+                DecisionMapper.status(new HostReport(ReplicationRole.REPLICA, 5, 6)));
     }
 
     @Test
--- a/src/test/java/mintstair/standin/MongoHost.java
+++ b/src/test/java/mintstair/standin/MongoHost.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import mintstair.wire.MongoMessage;
 import org.bson.BsonArray;
 import org.bson.BsonBoolean;
@@ -17,11 +18,19 @@
 import org.bson.BsonInt32;
 import org.bson.BsonInt64;
 import org.bson.BsonString;
+import org.bson.BsonTimestamp;
 
 /** A db host that speaks MongoDB's protocol; a find whose id begins with "cursor" leaves a cursor open. */
 public final class MongoHost extends StandInHost {
     public final Set<Long> cursors = Collections.synchronizedSet(new HashSet<>());
     public final List<BsonDocument> commands = Collections.synchronizedList(new ArrayList<>());
+    /**
+     * Whether replies report what MongoDB documents: role, lastWrite and localTime in the reply to hello alone, and
+     * operationTime, a timestamp of whole seconds and a count, in every reply. Otherwise all replies are like hello's.
+     */
+    public volatile boolean reportsAsDocumented;
+
+    private final AtomicInteger increment = new AtomicInteger();
 
     public MongoHost(String name, boolean primary, long positionMillis) throws IOException {
         super(name, primary, positionMillis);
@@ -36,14 +45,25 @@
                 return;
             }
             if (!reply.isEmpty()) {
-                reply.append("isWritablePrimary", BsonBoolean.valueOf(primary))
-                        .append("lastWrite", new BsonDocument("lastWriteDate", new BsonDateTime(positionMillis)))
-                        .append("localTime", new BsonDateTime(positionMillis));
+                report(reply, c.containsKey("hello"));
                 out.write(MongoMessage.opMsg(reply, m.requestId()));
             }
         }
     }
 
+    private void report(BsonDocument reply, boolean isHello) {
+        if (isHello || !reportsAsDocumented) {
+            long localTime = reportsAsDocumented ? System.currentTimeMillis() : positionMillis;
+            reply.append("isWritablePrimary", BsonBoolean.valueOf(primary))
+                    .append("lastWrite", new BsonDocument("lastWriteDate", new BsonDateTime(positionMillis)))
+                    .append("localTime", new BsonDateTime(localTime));
+        }
+        if (reportsAsDocumented) {
+            int second = (int) (positionMillis / 1000);
+            reply.append("operationTime", new BsonTimestamp(second, increment.incrementAndGet()));
+        }
+    }
+
     /** Reads one message, or null at the end. */
     static MongoMessage read(DataInputStream in) throws IOException {
         byte[] head = in.readNBytes(4);
--- a/src/test/java/mintstair/wire/ParsersTest.java
+++ b/src/test/java/mintstair/wire/ParsersTest.java
@@ -94,7 +94,7 @@
                 replies++;
                 assertEquals(ConnectionEnd.SERVED, reply.end());
                 assertEquals(ReplicationRole.REPLICA, reply.report().role());
-                assertEquals(1_700_000_000_123_000L, reply.report().position());
+                assertEquals(1_700_000_000_123_000L, reply.report().appliedPosition());
             }
         }
         assertEquals(times, replies);
@@ -272,7 +272,7 @@
         assertEquals(
                 ReplicationRole.PRIMARY, new PgProtocol().decodeReport(reply).role());
         assertEquals(
-                1_700_000_000_250_000L, new PgProtocol().decodeReport(reply).position());
+                1_700_000_000_250_000L, new PgProtocol().decodeReport(reply).appliedPosition());
     }
 
     @Example
