Count a write answered without a position as committed up to the clocks' tolerance later

The host's clock may be ahead of it by 20 ms before PositionClock notices, so the commit may be later than what the session's reads had to see. Before any report of the primary nothing is known of its clock at all.

Change: the present counts as PositionClock.latestCommit has it, with the tolerance and what the reports of the replica set's own primary show; without a report the session's reads go to the primary.

--- a/src/main/java/mintstair/decision/AttemptObserver.java
+++ b/src/main/java/mintstair/decision/AttemptObserver.java
@@ -131,13 +131,13 @@
     /**
      * Returns a position at or after the commit of an answered write, as early as is known. A host that reports the
      * commit imprecisely reports a span; the commit is not later than the present either, unless the span begins after
-     * it, which shows that the clocks differ.
+     * it, which shows that the clocks differ. If the host reported nothing, only the present is known.
      */
     private long commitPosition(long now, int replicaSet, AttemptResult result) {
+        long present = positions.latestCommit(replicaSet, now);
         if (result.commitPosition() == Positions.UNKNOWN) {
-            return positions.currentPosition(now);
+            return present;
         }
-        long present = positions.latestCommit(replicaSet, now);
         boolean clocksDiffer = present < result.appliedPosition();
         return clocksDiffer ? result.commitPosition() : Math.min(present, result.commitPosition());
     }
--- a/src/test/java/mintstair/decision/SessionPositionTest.java
+++ b/src/test/java/mintstair/decision/SessionPositionTest.java
@@ -41,6 +41,10 @@
 
     /** Writes; the answer arrives at {@link #ANSWERED_AT} and reports the second of the commit. */
     private void write(long commitSecond) {
+        write(commitSecond, commitSecond + SECOND - 1);
+    }
+
+    private void write(long earliestCommit, long latestCommit) {
         fixture.sendRequest(2, RouterFixture.NON_IDEMPOTENT_WRITE);
         fixture.now = ANSWERED_AT;
         fixture.endAttempt(
@@ -48,8 +52,8 @@
                 0,
                 AttemptOutcome.SUCCESS,
                 ReplicationRole.UNKNOWN,
-                commitSecond,
-                commitSecond + SECOND - 1);
+                earliestCommit,
+                latestCommit);
     }
 
     /** Returns the host of a read of the session that arrives after the replica has reported this position. */
@@ -108,6 +112,22 @@
         assertRequired(ANSWERED_AT + 400 * MS + 100 * MS + TOLERANCE);
     }
 
+    /** The clock of the host may be ahead of that of the router by the tolerance, and so may the commit. */
+    @Test
+    void commitOfAWriteAnsweredWithoutAPositionIsNotBeforeItsAnswer() {
+        start(15 * MS);
+        write(Positions.UNKNOWN, Positions.UNKNOWN);
+        assertRequired(ANSWERED_AT + TOLERANCE);
+    }
+
+    /** Nothing is known of the commit, so that the session is served by the primary. */
+    @Test
+    void commitOfAWriteAnsweredWithoutAPositionIsUnknownBeforeThePrimaryHasReported() {
+        startWithoutReports();
+        write(Positions.UNKNOWN, Positions.UNKNOWN);
+        assertEquals("p", hostOfReadAt(3, ANSWERED_AT + HOUR));
+    }
+
     @Test
     void commitIsNoLaterThanTheEndOfItsSecondByAClockThatIsAhead() {
         start(-HOUR);
