Round positions of PostgreSQL hosts down, and their commits up

Change: numbers are read as decimals, what a host has applied is rounded down and a commit up.

The whole suite was not run.

--- a/src/main/java/mintstair/backend/pg/PgPosition.java
+++ b/src/main/java/mintstair/backend/pg/PgPosition.java
@@ -1,28 +1,61 @@
 package mintstair.backend.pg;
 
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import mintstair.wire.ProtocolException;
 
-/** Converts replication positions, which hosts send as decimal numbers: milliseconds since 1970 unless noted. */
+/**
+ * Converts replication positions, which hosts send as decimal numbers of Unix time, to microseconds. A position that a
+ * host has applied is rounded down, and the commit of a write is rounded up, so that neither promises more than the
+ * host has.
+ */
 final class PgPosition {
+    /** The units in which hosts send positions. */
+    enum Unit {
+        SECONDS(6),
+        MILLISECONDS(3);
+
+        /** The power of ten of the microseconds in one unit. */
+        private final int microsExponent;
+
+        Unit(int microsExponent) {
+            this.microsExponent = microsExponent;
+        }
+    }
+
     /** The regular expression of the numbers that hosts send. */
     static final String NUMBER_PATTERN = "\\d{1,14}(?:\\.\\d{1,20})?(?:[eE][-+]?\\d{1,2})?";
 
     /** The latest plausible position; a host that claims a later one would appear fresh enough for any read. */
-    private static final double MAX_MILLIS = 1e14;
-
-    private static final int MICROS_PER_MILLI = 1000;
+    private static final BigDecimal MAX_MICROS = BigDecimal.valueOf(100_000_000_000_000_000L);
 
     private PgPosition() {}
 
     /**
-     * Converts a position from milliseconds to microseconds.
+     * Converts a position that a host has applied; rounds down.
+     *
+     * @param number matches {@link #NUMBER_PATTERN}
+     * @throws ProtocolException if the position is implausibly late
+     */
+    static long appliedMicros(String number, Unit unit) {
+        return toMicros(number, unit, RoundingMode.FLOOR);
+    }
+
+    /**
+     * Converts the commit of a write; rounds up.
      *
+     * @param number matches {@link #NUMBER_PATTERN}
      * @throws ProtocolException if the position is implausibly late
      */
-    static long toMicros(double millis) {
-        if (millis > MAX_MILLIS) {
-            throw new ProtocolException("replication position out of range: " + millis + " ms");
+    static long commitMicros(String number, Unit unit) {
+        return toMicros(number, unit, RoundingMode.CEILING);
+    }
+
+    private static long toMicros(String number, Unit unit, RoundingMode rounding) {
+        BigDecimal micros = new BigDecimal(number).scaleByPowerOfTen(unit.microsExponent);
+        if (micros.compareTo(MAX_MICROS) > 0) {
+            throw new ProtocolException("replication position out of range: " + number);
         }
-        return Math.round(millis * MICROS_PER_MILLI);
+        return micros.setScale(0, rounding).longValueExact();
     }
 }
--- a/src/main/java/mintstair/backend/pg/PgProtocol.java
+++ b/src/main/java/mintstair/backend/pg/PgProtocol.java
@@ -23,7 +23,6 @@
     private static final Pattern FIELD = Pattern.compile("(\\w{1,32})=(" + PgPosition.NUMBER_PATTERN + ")");
     private static final String POSITION_FIELD = "x0";
     private static final String PRIMARY_FIELD = "x1";
-    private static final double MILLIS_PER_SECOND = 1e3;
     /** The offset of the column's length in a row with one column, after the type, the length and the column count. */
     private static final int COLUMN_LENGTH_OFFSET = 7;
 
@@ -53,20 +52,20 @@
     @Override
     public HostReport decodeReport(byte[] body) {
         ReplicationRole role = ReplicationRole.UNKNOWN;
-        long positionMicros = HostReport.UNKNOWN_POSITION;
+        long appliedPosition = HostReport.UNKNOWN_POSITION;
         for (String part : columnText(body).split(",", -1)) {
             Matcher field = FIELD.matcher(part);
             if (!field.matches()) {
                 throw new ProtocolException("malformed field in the host report");
             }
-            double value = Double.parseDouble(field.group(2));
+            String value = field.group(2);
             if (field.group(1).equals(POSITION_FIELD)) {
-                positionMicros = PgPosition.toMicros(value * MILLIS_PER_SECOND);
+                appliedPosition = PgPosition.appliedMicros(value, PgPosition.Unit.SECONDS);
             } else if (field.group(1).equals(PRIMARY_FIELD)) {
-                role = value == 1 ? ReplicationRole.PRIMARY : ReplicationRole.REPLICA;
+                role = Double.parseDouble(value) == 1 ? ReplicationRole.PRIMARY : ReplicationRole.REPLICA;
             }
         }
-        return new HostReport(role, positionMicros, HostReport.UNKNOWN_POSITION);
+        return new HostReport(role, appliedPosition, HostReport.UNKNOWN_POSITION);
     }
 
     /**
--- a/src/main/java/mintstair/backend/pg/PgReplyParser.java
+++ b/src/main/java/mintstair/backend/pg/PgReplyParser.java
@@ -49,7 +49,8 @@
     private ConnectionEnd end;
 
     private ReplicationRole role = ReplicationRole.UNKNOWN;
-    private long positionMicros = HostReport.UNKNOWN_POSITION;
+    private long appliedPosition = HostReport.UNKNOWN_POSITION;
+    private long commitPosition = HostReport.UNKNOWN_POSITION;
 
     @Override
     public HostReply parse(byte[] message) {
@@ -119,7 +120,8 @@
         greeting = false;
         end = null;
         role = ReplicationRole.UNKNOWN;
-        positionMicros = HostReport.UNKNOWN_POSITION;
+        appliedPosition = HostReport.UNKNOWN_POSITION;
+        commitPosition = HostReport.UNKNOWN_POSITION;
     }
 
     @Override
@@ -138,7 +140,7 @@
             return null;
         }
         byte[] served = end == ConnectionEnd.SERVED ? body.toByteArray() : null;
-        return new HostReply(end, served, new HostReport(role, positionMicros, positionMicros));
+        return new HostReply(end, served, new HostReport(role, appliedPosition, commitPosition));
     }
 
     private void advance(byte[] message, Expected wanted, Expected next, boolean valid) {
@@ -172,7 +174,8 @@
             role = parseRole(value);
         } else if (name.equals("as_of")) {
             check(NUMBER.matcher(value).matches(), "replication position is not a number");
-            positionMicros = PgPosition.toMicros(Double.parseDouble(value));
+            appliedPosition = PgPosition.appliedMicros(value, PgPosition.Unit.MILLISECONDS);
+            commitPosition = PgPosition.commitMicros(value, PgPosition.Unit.MILLISECONDS);
         }
     }
 
--- a/src/test/java/mintstair/wire/ParsersTest.java
+++ b/src/test/java/mintstair/wire/ParsersTest.java
@@ -275,6 +275,25 @@
                 1_700_000_000_250_000L, new PgProtocol().decodeReport(reply).appliedPosition());
     }
 
+    /** Guards against a replica that seems to have applied more than it has, or a commit that seems earlier than it was. */
+    @Example
+    void positionsFinerThanAMicrosecondAreRoundedDownAndCommitsUp() {
+        byte[] vitals = "x0=1700000000.2500006,x1=0".getBytes(UTF_8);
+        byte[] report = new PgWriter()
+                .message('T', '\0', '\1', "vitals", new byte[18])
+                .message('D', '\0', '\1', vitals.length, vitals)
+                .message('C', "SHOW")
+                .bytes();
+        assertEquals(
+                1_700_000_000_250_000L, new PgProtocol().decodeReport(report).appliedPosition());
+        Protocol.Parser parser = new PgProtocol().newParser();
+        parser.parse(new PgWriter().message('R', 0).bytes());
+        parser.parse(new PgWriter().message('S', "as_of", "1700000000250.0006").bytes());
+        HostReply reply = parser.parse(new PgWriter().message('Z', 'I').bytes());
+        assertEquals(1_700_000_000_250_000L, reply.report().appliedPosition());
+        assertEquals(1_700_000_000_250_001L, reply.report().commitPosition());
+    }
+
     @Example
     void documentSequencesAreAddedToTheBodyAndChecksumsAreVerified() {
         BsonDocument body = BsonDocument.parse("{insert: 'e', $db: 'd'}");
