Know hosts by the role that they report, with or without a position

A health check whose report had a role and no position was dated by that position, -1, and so older than everything: a primary was never known by it, and a former primary never known as a replica. And a MongoDB primary whose hello lacks localTime was taken to stand at its last write, so that an idle group, hours after it, looked like a local clock that is hours ahead, with all its hosts in slow start.

Change: a report without a position is dated by the earliest time at which it can have been made. The position of a primary that reports no time is unknown.

Ruled out for the platform's hosts: reports there have x0 and x1, and MongoDB's hello has localTime.

The whole suite was not run.

--- a/src/main/java/mintstair/backend/mongo/MongoProtocol.java
+++ b/src/main/java/mintstair/backend/mongo/MongoProtocol.java
@@ -17,8 +17,8 @@
 
 /**
  * The protocol of MongoDB hosts. A host reports its role and position in the fields of hello, in any reply that
- * contains them: isWritablePrimary, lastWrite.lastWriteDate and localTime. If these are missing, operationTime gives
- * the position with a resolution of one second. The increment of operationTime is not used: nothing in a reply shows
+ * contains them: isWritablePrimary, localTime of a primary and lastWrite.lastWriteDate of a replica. If the role or
+ * lastWriteDate is missing, operationTime gives the position with a resolution of one second. The increment of operationTime is not used: nothing in a reply shows
  * that the increments of two hosts can be compared.
  */
 public final class MongoProtocol implements Protocol {
@@ -128,11 +128,13 @@
 
     /**
      * Returns a time up to which the host has applied all commits. That of a primary is its current time, no matter
-     * when it executed its last write.
+     * when it executed its last write; if it does not report its time, its position is unknown.
      */
     private static long appliedPosition(BsonDocument body, ReplicationRole role) {
-        if (role == ReplicationRole.PRIMARY && body.isDateTime("localTime")) {
-            return body.getDateTime("localTime").getValue() * MICROS_PER_MILLI;
+        if (role == ReplicationRole.PRIMARY) {
+            return body.isDateTime("localTime")
+                    ? body.getDateTime("localTime").getValue() * MICROS_PER_MILLI
+                    : HostReport.UNKNOWN_POSITION;
         }
         BsonValue lastWrite =
                 body.isDocument("lastWrite") ? body.getDocument("lastWrite").get("lastWriteDate") : null;
--- a/src/main/java/mintstair/decision/AttemptObserver.java
+++ b/src/main/java/mintstair/decision/AttemptObserver.java
@@ -165,27 +165,45 @@
     }
 
     private void recordStatus(long now, Endpoint endpoint, long latency, ReplicationStatus status) {
-        ReplicaSet replicaSet = endpoint.replicaSet;
-        boolean hasPosition = status.position() != Positions.UNKNOWN;
-        if (status.role() == ReplicationRole.PRIMARY) {
-            primaryReported(now, endpoint, status.position());
-        }
-        long age = positions.currentPosition(now) - status.position();
-        long reportedAt = positions.localTimeOf(replicaSet.number, now, status.position());
-        if (status.role() == ReplicationRole.PRIMARY) {
-            // A primary is always up to date, so its position is the time at which it made the report.
-            endpoint.replication.reportedAt = now;
-            if (hasPosition) {
-                replicaSet.recordReportAge(age);
+        switch (status.role()) {
+            case PRIMARY -> recordPrimaryStatus(now, endpoint, latency, status.position());
+            case REPLICA -> recordReplicaStatus(now, endpoint, latency, status.position());
+            case UNKNOWN -> {
+                // The position of a host whose role is unknown cannot be interpreted.
             }
-            primaries.primaryObserved(endpoint, reportedAt);
-        } else if (status.role() == ReplicationRole.REPLICA && hasPosition) {
-            long earliestReportAt = now - latency - replicaSet.reportAge();
-            primaries.replicaObserved(endpoint, Math.max(reportedAt, earliestReportAt));
-            replication.positionReported(now, endpoint, status.position(), age);
         }
     }
 
+    private void recordPrimaryStatus(long now, Endpoint endpoint, long latency, long position) {
+        ReplicaSet replicaSet = endpoint.replicaSet;
+        endpoint.replication.reportedAt = now;
+        if (position == Positions.UNKNOWN) {
+            primaries.primaryObserved(endpoint, earliestReportTime(now, latency, replicaSet));
+            return;
+        }
+        primaryReported(now, endpoint, position);
+        replicaSet.recordReportAge(positions.currentPosition(now) - position);
+        // A primary is always up to date, so its position is the time at which it made the report.
+        primaries.primaryObserved(endpoint, positions.localTimeOf(replicaSet.number, now, position));
+    }
+
+    private void recordReplicaStatus(long now, Endpoint endpoint, long latency, long position) {
+        ReplicaSet replicaSet = endpoint.replicaSet;
+        long reportedAt = earliestReportTime(now, latency, replicaSet);
+        if (position == Positions.UNKNOWN) {
+            primaries.replicaObserved(endpoint, reportedAt);
+            return;
+        }
+        reportedAt = Math.max(reportedAt, positions.localTimeOf(replicaSet.number, now, position));
+        primaries.replicaObserved(endpoint, reportedAt);
+        replication.positionReported(now, endpoint, position, positions.currentPosition(now) - position);
+    }
+
+    /** Returns the earliest time at which a host can have made the report that a health check has returned. */
+    private static long earliestReportTime(long now, long latency, ReplicaSet replicaSet) {
+        return now - latency - replicaSet.reportAge();
+    }
+
     /**
      * Updates the clock offset from a position that a primary reported. If the offset has changed, the listed start
      * times of all endpoints are evaluated again.
--- a/src/test/java/mintstair/decision/ClockSkewTest.java
+++ b/src/test/java/mintstair/decision/ClockSkewTest.java
@@ -203,6 +203,17 @@
         assertTrue(fixture.healthChecks.contains("p"));
     }
 
+    /** Some hosts report their role alone; who is primary does not depend on a position. */
+    @Test
+    void hostsThatReportTheirRoleWithoutAPositionAreKnownByTheirHealthChecks() {
+        start(0, 10 * MS);
+        fixture.now += 10 * SECOND;
+        fixture.answerHealthCheck("p", Positions.UNKNOWN, ReplicationRole.REPLICA);
+        fixture.answerHealthCheck("r1", Positions.UNKNOWN, ReplicationRole.PRIMARY);
+        fixture.sendRequest(1, RouterFixture.NON_IDEMPOTENT_WRITE);
+        assertEquals("r1", fixture.lastAttempt().host());
+    }
+
     /** A clock that differs by no more than synchronized clocks usually do counts as correct. */
     @Test
     void readsAreSpreadOverReplicasWhenTheClockIsCorrect() {
--- a/src/test/java/mintstair/wire/ParsersTest.java
+++ b/src/test/java/mintstair/wire/ParsersTest.java
@@ -23,6 +23,7 @@
 import mintstair.config.Json;
 import mintstair.request.ConnectionEnd;
 import mintstair.request.HostReply;
+import mintstair.request.HostReport;
 import mintstair.request.ReplicationRole;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -294,6 +295,17 @@
         assertEquals(1_700_000_000_250_001L, reply.report().commitPosition());
     }
 
+    /** Guards against a primary whose last write, hours ago, is taken for the present time of its clock. */
+    @Example
+    void positionOfAPrimaryThatReportsNoTimeIsUnknown() {
+        byte[] hello = MongoMessage.encodeDocument(
+                BsonDocument.parse("{isWritablePrimary: true, lastWrite: {lastWriteDate: {$date: 1700000000250}},"
+                        + " operationTime: {$timestamp: {t: 1700000000, i: 1}}, ok: 1}"));
+        HostReport report = new MongoProtocol().decodeReport(hello);
+        assertEquals(ReplicationRole.PRIMARY, report.role());
+        assertEquals(HostReport.UNKNOWN_POSITION, report.appliedPosition());
+    }
+
     @Example
     void documentSequencesAreAddedToTheBodyAndChecksumsAreVerified() {
         BsonDocument body = BsonDocument.parse("{insert: 'e', $db: 'd'}");
