Do not trust a clock in whose future a replica reports its position

Cause: PositionClock.hasTimeReference trusted the local clock as long as no primary had shown an offset.

Change: a replica's position in the future shows that the clock is behind, but not by how much, as the replica may lag. Bounded reads of its replica set go to the primary until the primary has reported.

The whole suite was not run.

--- a/src/main/java/mintstair/decision/AttemptObserver.java
+++ b/src/main/java/mintstair/decision/AttemptObserver.java
@@ -109,8 +109,7 @@
             return;
         }
         if (hasPosition) {
-            long lag = positions.currentPosition(now) - result.appliedPosition();
-            replication.positionReported(now, endpoint, result.appliedPosition(), lag);
+            replicaReported(now, endpoint, result.appliedPosition());
         } else if (result.outcome() == AttemptOutcome.SUCCESS
                 && settings.get().replicaReadCheck() != ReplicaReadCheck.NONE) {
             // A replica that serves a checked read has reached the position that the read requires.
@@ -196,6 +195,11 @@
         }
         reportedAt = Math.max(reportedAt, positions.localTimeOf(replicaSet.number, now, position));
         primaries.replicaObserved(endpoint, reportedAt);
+        replicaReported(now, endpoint, position);
+    }
+
+    private void replicaReported(long now, Endpoint endpoint, long position) {
+        positions.replicaReported(endpoint.replicaSet.number, now, position);
         replication.positionReported(now, endpoint, position, positions.currentPosition(now) - position);
     }
 
--- a/src/main/java/mintstair/decision/PositionClock.java
+++ b/src/main/java/mintstair/decision/PositionClock.java
@@ -2,7 +2,9 @@
 
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Estimates how far the clock of replication positions and host start times is ahead of this router's clock. Both are
@@ -29,6 +31,9 @@
     /** For each replica set, the newest position that its primary reported minus the local time of its arrival. */
     private final Map<Integer, Long> evidence = new HashMap<>();
 
+    /** The replica sets of which a replica has reported a position in the future of the local clock. */
+    private final Set<Integer> replicasInFuture = new HashSet<>();
+
     private int replicaSetsAhead;
     private int replicaSetsBehind;
     private long offset;
@@ -79,12 +84,22 @@
         return now + offset;
     }
 
+    /**
+     * Records a position that a replica reported. One in the future shows that the local clock is behind, but not by how
+     * much, as the replica may lag.
+     */
+    void replicaReported(int replicaSet, long now, long position) {
+        if (position > currentPosition(now) + TOLERANCE_MICROS) {
+            replicasInFuture.add(replicaSet);
+        }
+    }
+
     /**
      * Returns whether the current position is known for this replica set. If the local clock is behind, that requires a
      * report of the set's own primary.
      */
     boolean hasTimeReference(int replicaSet) {
-        return offset == 0 || evidence.containsKey(replicaSet);
+        return evidence.containsKey(replicaSet) || (offset == 0 && !replicasInFuture.contains(replicaSet));
     }
 
     /**
--- a/src/test/java/mintstair/decision/ClockSkewTest.java
+++ b/src/test/java/mintstair/decision/ClockSkewTest.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import mintstair.request.ReplicationRole;
 import org.junit.jupiter.api.Test;
 
@@ -203,6 +204,31 @@
         assertTrue(fixture.healthChecks.contains("p"));
     }
 
+    /** The replicas lag by 5 s, and by a clock that is an hour behind their positions are in the future. */
+    @Test
+    void clockBehindCausesNoStaleReadsBeforeThePrimaryHasReportedItsPosition() {
+        fixture.now = 100 * HOUR;
+        fixture.start();
+        fixture.updateEndpoints(
+                EndpointUpdateType.SNAPSHOT,
+                RouterFixture.servingEntry("p"),
+                RouterFixture.servingEntry("r1"),
+                RouterFixture.servingEntry("r2"));
+        fixture.answerHealthCheck("p", Positions.UNKNOWN, ReplicationRole.PRIMARY);
+        for (String replica : List.of("r1", "r2")) {
+            fixture.answerHealthCheck(replica, fixture.now + HOUR - 5 * SECOND, ReplicationRole.REPLICA);
+        }
+        for (long id = 1; id <= 20; id++) {
+            fixture.now += 5 * MS;
+            fixture.sendRequest(id, RouterFixture.BOUNDED_READ);
+        }
+        assertEquals(
+                Set.of("p"),
+                fixture.sentAttempts.stream()
+                        .map(RouterFixture.SentAttempt::host)
+                        .collect(Collectors.toSet()));
+    }
+
     /** Some hosts report their role alone; who is primary does not depend on a position. */
     @Test
     void hostsThatReportTheirRoleWithoutAPositionAreKnownByTheirHealthChecks() {
