Remember the writes of sessions whatever the settings say of sessions

Change: every answered write of a session is recorded, bounded by the 120 s for which a position is kept, as before.

The whole suite was not run.

--- a/src/main/java/mintstair/decision/AttemptObserver.java
+++ b/src/main/java/mintstair/decision/AttemptObserver.java
@@ -120,9 +120,10 @@
         }
     }
 
+    /** Records a write whatever the settings say of sessions: later ones may require that it is remembered. */
     private void recordSessionWrite(long now, InFlightRequest request, AttemptResult result) {
         String session = request.request.session();
-        if (session != null && settings.get().remembersSessionTokens()) {
+        if (session != null) {
             tokens.writeAnswered(now, session, commitPosition(now, request.request.replicaSet(), result));
         }
     }
--- a/src/main/java/mintstair/decision/SessionTokens.java
+++ b/src/main/java/mintstair/decision/SessionTokens.java
@@ -4,8 +4,8 @@
 import java.util.LinkedHashMap;
 
 /**
- * The replication position of the last write of each session, for routers that remember it. Times and positions are in
- * microseconds. Not safe for use by several threads.
+ * The replication position of the last write of each session. Times and positions are in microseconds. Not safe for use
+ * by several threads.
  */
 final class SessionTokens {
     /** How long a token is kept: far longer than a replica lags or the initial data of a new host is old. */
--- a/src/test/java/mintstair/decision/SettingsReloadTest.java
+++ b/src/test/java/mintstair/decision/SettingsReloadTest.java
@@ -40,6 +40,26 @@
                 base.limits());
     }
 
+    private static RouterSettings withRememberedSessions(RouterSettings base) {
+        return new RouterSettings(
+                base.fleetSize(),
+                base.instanceIndex(),
+                base.zone(),
+                base.classes(),
+                base.tenants(),
+                base.overQuotaWeight(),
+                true,
+                base.replicaReadCheck(),
+                base.positionsInResponses(),
+                base.listReportsRole(),
+                base.subscribesToEndpoints(),
+                base.clientsMarkRetries(),
+                base.healthCheckCost(),
+                base.crossZoneCost(),
+                base.protection(),
+                base.limits());
+    }
+
     private static RouterSettings withProtection(RouterSettings base, ProtectionSettings protection) {
         return with(base, base.fleetSize(), base.classes(), base.tenants(), protection);
     }
@@ -250,4 +270,20 @@
                 sentBefore, fixture.sentAttempts.size(), "nothing is sent for requests that have their final answer");
         assertEquals(3, fixture.rejected.size() + fixture.failed.size());
     }
+
+    /** Guards against stale reads of sessions that wrote before the settings said that writes are remembered. */
+    @Test
+    void writeAnsweredBeforeTheReloadIsSeenByReadsOfItsSession() {
+        RouterFixture fixture = new RouterFixture().start().listReplicaSet();
+        fixture.sendRequest(1, RouterFixture.NON_IDEMPOTENT_WRITE);
+        fixture.now += 100 * MS;
+        fixture.endAttempt(fixture.lastAttempt(), 0, AttemptOutcome.SUCCESS, ReplicationRole.PRIMARY, fixture.now);
+        fixture.router.onSettings(fixture.now, withRememberedSessions(fixture.settings()));
+        fixture.sendRequest(2, RouterFixture.SESSION_READ);
+        fixture.answerHealthChecks(50 * MS);
+        assertEquals("p", fixture.lastAttempt().host());
+        fixture.answerHealthCheck("r3", fixture.now, ReplicationRole.REPLICA);
+        fixture.sendRequest(3, RouterFixture.SESSION_READ);
+        assertEquals("r3", fixture.lastAttempt().host());
+    }
 }
