--- a/src/main/java/mintstair/backend/mongo/MongoProtocol.java
+++ b/src/main/java/mintstair/backend/mongo/MongoProtocol.java
@@ -18,8 +18,8 @@
 /**
  * The protocol of MongoDB hosts. A host reports its role and position in the fields of hello, in any reply that
  * contains them: isWritablePrimary, localTime of a primary and lastWrite.lastWriteDate of a replica. If the role or
- * lastWriteDate is missing, operationTime gives the position with a resolution of one second. The increment of operationTime is not used: nothing in a reply shows
- * that the increments of two hosts can be compared.
+ * lastWriteDate is missing, operationTime gives the position with a resolution of one second. The increment of
+ * operationTime is not used: nothing in a reply shows that the increments of two hosts can be compared.
  */
 public final class MongoProtocol implements Protocol {
     /** Error codes of a host that is not the primary, or cannot serve reads now; the command was not executed. */
--- a/src/test/java/mintstair/serve/RememberedSessionsTest.java
+++ b/src/test/java/mintstair/serve/RememberedSessionsTest.java
@@ -25,6 +25,7 @@
 /** Reads of sessions whose last write the proxy remembers, at MongoDB hosts that report as MongoDB documents it. */
 class RememberedSessionsTest {
     private static final int READS = 20;
+    private static final int CURSOR_NOT_FOUND = 43;
     /** The start of a past second, by the clock of hosts and proxy. */
     private static final long SECOND_START = System.currentTimeMillis() / 1000 * 1000 - 2_000;
 
@@ -93,7 +94,11 @@
 
     private BsonDocument command(String start, String requestClass, String session) throws IOException {
         requests++;
-        String comment = "id=q" + requests + ",c=" + requestClass + ",cluster=1,session=" + session;
+        return command(start, "q" + requests, requestClass, session);
+    }
+
+    private BsonDocument command(String start, String id, String requestClass, String session) throws IOException {
+        String comment = "id=" + id + ",c=" + requestClass + ",cluster=1,session=" + session;
         return client.command(BsonDocument.parse(start + ", comment: '" + comment + "', maxTimeMS: 4000}"));
     }
 
@@ -109,6 +114,29 @@
         Program.await(() -> readsOne("later"), "the replica to serve the session once it has applied the write");
     }
 
+    /** Guards against a cursor that is read on at a replica without the write that its session made meanwhile. */
+    @Test
+    void cursorOpenedBeforeAWriteOfItsSessionIsNotReadOnAtAReplicaBehindTheWrite() throws IOException {
+        replica.positionMillis = SECOND_START + 100;
+        write("s", SECOND_START - 500);
+        BsonDocument opened = openCursorAtReplica("s");
+        write("s", SECOND_START + 300);
+        long id = opened.getDocument("cursor").getNumber("id").longValue();
+        BsonDocument next = client.command(
+                BsonDocument.parse("{getMore: NumberLong('" + id + "'), collection: 'e', maxTimeMS: 300}"));
+        assertEquals(CURSOR_NOT_FOUND, next.getNumber("code").intValue(), next.toJson());
+    }
+
+    private BsonDocument openCursorAtReplica(String session) throws IOException {
+        for (int i = 0; i < READS; i++) {
+            BsonDocument reply = command("{find: 'e'", "cursor" + i, "session", session);
+            if (!replica.cursors.isEmpty()) {
+                return reply;
+            }
+        }
+        throw new AssertionError("the replica served none of " + READS + " reads");
+    }
+
     private boolean readsOne(String session) {
         try {
             return readsAtReplica(session) > 0;
