--- a/src/test/java/mintstair/backend/ConnectionPoolsTest.java
+++ b/src/test/java/mintstair/backend/ConnectionPoolsTest.java
@@ -29,7 +29,7 @@
 import mintstair.request.HostReply;
 import mintstair.standin.Client;
 import mintstair.standin.PgHost;
-import mintstair.standin.StandInHost.Act;
+import mintstair.standin.StandInHost.HostBehavior;
 import mintstair.stats.Counters;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -95,9 +95,9 @@
 
     @Test
     void attemptEndsAsItsHostOrConnectionDid() throws Exception {
-        host.script.put("broken", Act.BREAK);
-        host.script.put("unanswered", Act.SILENT);
-        host.script.put("miss", Act.MISS);
+        host.behaviors.put("broken", HostBehavior.BREAK);
+        host.behaviors.put("unanswered", HostBehavior.SILENT);
+        host.behaviors.put("miss", HostBehavior.MISS);
 
         assertEquals(ConnectionEnd.SERVED, end("speaks", "fine", 9 * SECOND, 9 * SECOND));
         assertEquals(ConnectionEnd.MISS, end("speaks", "miss", 9 * SECOND, 9 * SECOND));
@@ -110,10 +110,10 @@
 
     @Test
     void cancelledAttemptEndsAsCalledOff() throws Exception {
-        host.script.put("off", Act.SILENT);
+        host.behaviors.put("off", HostBehavior.SILENT);
         Backend.Attempt[] sent = new Backend.Attempt[1];
         CompletableFuture<HostReply> cancelled = send("speaks", "off", 9 * SECOND, 9 * SECOND, sent);
-        while (!host.seen.contains("off")) {
+        while (!host.requestIds.contains("off")) {
             Thread.onSpinWait();
         }
 
@@ -126,14 +126,14 @@
     /** Guards against forwarding damaged values: random bytes, lengths that do not match, and a value without end. */
     @Test
     void damagedRepliesFailTheirAttemptAndNoOther() throws Exception {
-        host.script.put("noise", Act.NOISE);
-        host.script.put("torn", Act.TORN);
-        host.script.put("huge", Act.HUGE);
+        host.behaviors.put("noise", HostBehavior.NOISE);
+        host.behaviors.put("torn", HostBehavior.TORN);
+        host.behaviors.put("huge", HostBehavior.HUGE);
         for (String damaged : new String[] {"noise", "torn", "huge"}) {
             assertEquals(ConnectionEnd.GARBLED, end("speaks", damaged, 9 * SECOND, 9 * SECOND), damaged);
             assertEquals(ConnectionEnd.SERVED, end("speaks", "after " + damaged, 9 * SECOND, 9 * SECOND));
         }
-        host.script.put("vitals", Act.NOISE);
+        host.behaviors.put("vitals", HostBehavior.NOISE);
         CompletableFuture<HostReply> report = new CompletableFuture<>();
         loop.execute(() -> pools.sendHealthCheck("speaks", report::complete));
         assertEquals(
@@ -149,11 +149,11 @@
     @Test
     void bytesThatTrailAReplyDoNotReachTheNextAttempt() throws Exception {
         for (int i = 0; i < 5; i++) {
-            host.script.put("trailed" + i, Act.TRAILED);
+            host.behaviors.put("trailed" + i, HostBehavior.TRAILED);
             assertServed("trailed" + i);
-            host.trail.release();
-            host.trailed.acquire();
-            host.script.put("twice" + i, Act.TWICE);
+            host.trailingAllowed.release();
+            host.trailingSent.acquire();
+            host.behaviors.put("twice" + i, HostBehavior.TWICE);
             assertServed("twice" + i);
             assertServed("next" + i);
         }
@@ -168,13 +168,13 @@
     @Test
     void bytesThatArriveOnAnIdleConnectionDoNotReachTheNextAttempt() throws Exception {
         for (int i = 0; i < 50; i++) {
-            host.script.put("trailed" + i, Act.TRAILED);
+            host.behaviors.put("trailed" + i, HostBehavior.TRAILED);
             assertServed("trailed" + i);
             CompletableFuture<Void> settled = new CompletableFuture<>();
             loop.at(loop.now() + 10_000, () -> settled.complete(null));
             settled.get(20, TimeUnit.SECONDS);
-            host.trail.release();
-            host.trailed.acquire();
+            host.trailingAllowed.release();
+            host.trailingSent.acquire();
             assertServed("next" + i);
         }
     }
@@ -278,13 +278,13 @@
         for (int i = 0; i < tries; i += 20) {
             List<CompletableFuture<HostReply>> ends = new ArrayList<>();
             for (int j = i; j < i + 20; j++) {
-                host.script.put("b" + j, Act.BREAK);
+                host.behaviors.put("b" + j, HostBehavior.BREAK);
                 ends.add(send("speaks", "b" + j, 9 * SECOND, 9 * SECOND, new Backend.Attempt[1]));
             }
             for (int j = 0; j < 20; j++) {
                 ConnectionEnd end = ends.get(j).get(20, TimeUnit.SECONDS).end();
                 assertTrue(
-                        !host.seen.contains("b" + (i + j)) || end == ConnectionEnd.BROKEN_AFTER_WRITTEN,
+                        !host.requestIds.contains("b" + (i + j)) || end == ConnectionEnd.BROKEN_AFTER_WRITTEN,
                         "b" + (i + j) + " " + end);
             }
         }
--- a/src/test/java/mintstair/bench/BreakBytes.java
+++ b/src/test/java/mintstair/bench/BreakBytes.java
@@ -12,7 +12,7 @@
 import mintstair.registry.etcd.EtcdMember;
 import mintstair.registry.view.ViewTimeouts;
 import mintstair.standin.RegistryModel;
-import mintstair.standin.Relay;
+import mintstair.standin.TcpRelay;
 
 /**
  * Bytes that a break costs in a registry at rest: this client's, and a whole reading, as a plain client makes after
@@ -35,7 +35,7 @@
         model.change(all);
         AtomicBoolean live = new AtomicBoolean();
         try (EtcdMember member = new EtcdMember(model);
-                Relay relay = new Relay(member.port())) {
+                TcpRelay relay = new TcpRelay(member.port())) {
             RegistryConfig config = new RegistryConfig(
                     RegistryConfig.Kind.ETCD,
                     List.of(new InetSocketAddress("127.0.0.1", relay.port())),
@@ -50,16 +50,16 @@
                     new RegistryClient(config, ViewTimeouts.DEFAULT, 1, (told, view) -> live.set(true))) {
                 client.start();
                 Program.await(live::get, "the first reading");
-                long plain = relay.toClients.get();
+                long plain = relay.bytesToClients.get();
                 for (int i = 1; i <= BREAKS; i++) {
-                    relay.cut();
+                    relay.closeAll();
                     long at = model.change(Map.of(
                             "reg/postgresql/hosts/h0",
                             "{\"uid\":\"h0\",\"endpoint\":\"127.0.0.1:" + i
                                     + "\",\"az\":\"a\",\"pod_group\":1,\"state\":\"SERVING\"}"));
                     Program.await(() -> client.metrics().revision() == at, "the change behind the break");
                 }
-                return new long[] {(relay.toClients.get() - plain) / BREAKS, plain};
+                return new long[] {(relay.bytesToClients.get() - plain) / BREAKS, plain};
             }
         }
     }
--- a/src/test/java/mintstair/bench/BreakPlay.java
+++ b/src/test/java/mintstair/bench/BreakPlay.java
@@ -14,8 +14,8 @@
 import mintstair.registry.etcd.EtcdMember;
 import mintstair.standin.ConsulServer;
 import mintstair.standin.RegistryModel;
-import mintstair.standin.Relay;
 import mintstair.standin.StandInHost;
+import mintstair.standin.TcpRelay;
 
 /** One running program with three members behind relays, changes all the time, and breaks one after the other. */
 final class BreakPlay implements AutoCloseable {
@@ -45,7 +45,7 @@
     private final RegistryModel model = new RegistryModel();
     private final List<EtcdMember> members = new ArrayList<>();
     private final List<ConsulServer> servers = new ArrayList<>();
-    private final List<Relay> relays = new ArrayList<>();
+    private final List<TcpRelay> relays = new ArrayList<>();
     private final Program program;
     /** The digest of the list at each revision, of all histories that there have been. */
     private final Map<Long, List<Long>> digests = new HashMap<>();
@@ -71,7 +71,8 @@
             } else {
                 servers.add(new ConsulServer(model, null));
             }
-            relays.add(new Relay(etcd ? members.get(m).port() : servers.get(m).port()));
+            relays.add(
+                    new TcpRelay(etcd ? members.get(m).port() : servers.get(m).port()));
             endpoints
                     .append(m == 0 ? "" : ",")
                     .append("\"127.0.0.1:")
@@ -151,18 +152,18 @@
 
     private Break one(String kind) throws IOException {
         int at = (int) figures().getOrDefault("registry_endpoint", 0L).longValue();
-        Relay there = relays.get(at);
+        TcpRelay there = relays.get(at);
         long from = System.nanoTime();
         switch (kind) {
-            case "cut" -> there.cut();
-            case "torn" -> there.tear(1 + dice.nextInt(2_000));
-            case "refused" -> there.refuse(true);
-            case "silent" -> there.silence(true);
+            case "cut" -> there.closeAll();
+            case "torn" -> there.closeAfter(1 + dice.nextInt(2_000));
+            case "refused" -> there.setRefusing(true);
+            case "silent" -> there.setSilent(true);
             case "lagging" -> members.get(at).lagsAt = model.revision;
             case "status 503" -> servers.get(at).status = 503;
             case "no leader" -> leader(at, false);
             case "compacted" -> {
-                there.cut();
+                there.closeAll();
                 RegistryBench.pause(5);
                 model.compact(model.revision);
             }
@@ -225,7 +226,7 @@
             epochAt++;
             paused = false;
         }
-        relays.forEach(Relay::cut);
+        relays.forEach(TcpRelay::closeAll);
     }
 
     private void leader(int member, boolean known) {
@@ -237,9 +238,9 @@
     }
 
     private void heal(int at) throws IOException {
-        relays.get(at).refuse(false);
-        relays.get(at).silence(false);
-        relays.get(at).tear(-1);
+        relays.get(at).setRefusing(false);
+        relays.get(at).setSilent(false);
+        relays.get(at).closeAfter(-1);
         if (etcd) {
             members.get(at).lagsAt = -1;
         } else {
@@ -281,7 +282,7 @@
     public void close() throws IOException {
         over = true;
         program.close();
-        for (Relay each : relays) {
+        for (TcpRelay each : relays) {
             each.close();
         }
         members.forEach(EtcdMember::close);
--- a/src/test/java/mintstair/bench/TrafficBench.java
+++ b/src/test/java/mintstair/bench/TrafficBench.java
@@ -59,7 +59,7 @@
                 MongoHost m = new MongoHost("m", true, far());
                 MongoHost n = new MongoHost("n", false, far())) {
             for (var host : List.of(p, r, m, n)) {
-                host.byKey = true;
+                host.repliesWithKey = true;
             }
             String pg = p.listed("SERVING") + "," + r.listed("SERVING");
             String mongo = "\"mongodb\":{\"listen\":\"127.0.0.1:0\",\"hosts\":{\"rev\":1,\"all\":true,\"targets\":["
--- a/src/test/java/mintstair/discovery/ResponseEndTest.java
+++ b/src/test/java/mintstair/discovery/ResponseEndTest.java
@@ -124,7 +124,7 @@
         };
     }
 
-    private static Step resetAfter(String text) {
+    private static Step closeAfter(String text) {
         return (socket, out) -> {
             out.write(text.getBytes(StandardCharsets.UTF_8));
             out.flush();
@@ -144,7 +144,7 @@
     void resetDoesNotCompleteAResponseWithoutALength() {
         List<Step> steps = new ArrayList<>();
         for (int n = 1; n < LIST.length(); n += 9) {
-            steps.add(resetAfter(HEAD_WITHOUT_LENGTH + LIST.substring(0, n)));
+            steps.add(closeAfter(HEAD_WITHOUT_LENGTH + LIST.substring(0, n)));
         }
         steps.add(sends(HEAD_WITH_LENGTH + LIST));
 
--- a/src/test/java/mintstair/program/DayToDayTest.java
+++ b/src/test/java/mintstair/program/DayToDayTest.java
@@ -12,7 +12,7 @@
 import mintstair.standin.Client;
 import mintstair.standin.Discovery;
 import mintstair.standin.PgHost;
-import mintstair.standin.StandInHost.Act;
+import mintstair.standin.StandInHost.HostBehavior;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -76,9 +76,9 @@
     /** Each figure against what the clients heard and the hosts saw. */
     @Test
     void figuresAreWhatClientsAndHostsSaw() throws IOException {
-        primary.script.put("broken", Act.BREAK);
-        primary.script.put("full", Act.FULL);
-        primary.script.put("open", Act.SILENT);
+        primary.behaviors.put("broken", HostBehavior.BREAK);
+        primary.behaviors.put("full", HostBehavior.FULL);
+        primary.behaviors.put("open", HostBehavior.SILENT);
         try (Client.Pg client = new Client.Pg(program.port(0));
                 Client.Pg waits = new Client.Pg(program.port(0))) {
             for (int i = 0; i < 5; i++) {
@@ -100,8 +100,8 @@
             }) {
                 program.awaitFigure(line);
             }
-            program.awaitFigure("attempts=" + (primary.seen.size() + replica.seen.size()));
-            discovery.tell(list("DRAINING"));
+            program.awaitFigure("attempts=" + (primary.requestIds.size() + replica.requestIds.size()));
+            discovery.publish(list("DRAINING"));
             program.awaitFigure("db_hosts_excluded=1");
             program.awaitFigure("db_hosts_known=2");
             assertTrue(program.call("telemetry\n").startsWith("ok\n")
@@ -114,11 +114,11 @@
     @Test
     void longAnswersGoOnWhileOthersDoNotRead() throws IOException {
         List<Client.Pg> slow = new ArrayList<>();
-        primary.script.put("long", Act.LONG);
-        replica.script.put("long", Act.LONG);
+        primary.behaviors.put("long", HostBehavior.LONG);
+        replica.behaviors.put("long", HostBehavior.LONG);
         for (int i = 0; i < 40; i++) {
-            primary.script.put("slow" + i, Act.LONG);
-            replica.script.put("slow" + i, Act.LONG);
+            primary.behaviors.put("slow" + i, HostBehavior.LONG);
+            replica.behaviors.put("slow" + i, HostBehavior.LONG);
             slow.add(new Client.Pg(program.port(0)));
             slow.get(i).send(false, "id=slow" + i + ",c=any,cluster=1", 4000);
         }
@@ -126,12 +126,14 @@
         try (Client.Pg client = new Client.Pg(program.port(0))) {
             assertEquals("served quick", client.ask(false, "id=quick,c=any,cluster=1", 4000));
             assertEquals(
-                    PgHost.LONG + "served ".length(),
+                    PgHost.LONG_VALUE_LENGTH + "served ".length(),
                     client.ask(false, "id=long,c=any,cluster=1", 4000).length());
             assertEquals("served next", client.ask(false, "id=next,c=any,cluster=1", 4000));
         }
         assertEquals(
-                PgHost.LONG + "served ".length(), slow.get(0).answer().length(), "one that reads late gets the whole");
+                PgHost.LONG_VALUE_LENGTH + "served ".length(),
+                slow.get(0).answer().length(),
+                "one that reads late gets the whole");
         for (Client.Pg client : slow) {
             client.close();
         }
@@ -141,18 +143,18 @@
     /** A host that breaks off in the middle of a value: the client can tell, and nothing is sent again. */
     @Test
     void longAnswerThatBreaksOffIsCutInItsMiddle() throws IOException {
-        primary.script.put("torn", Act.LONG_TORN);
+        primary.behaviors.put("torn", HostBehavior.LONG_TORN);
         try (Client.Pg client = new Client.Pg(program.port(0))) {
             client.send(true, "id=torn,c=write,cluster=1", 1000);
             assertEquals('T', client.in.read());
-            primary.trail.release();
+            primary.trailingAllowed.release();
             int heard = client.in.readAllBytes().length;
-            assertTrue(heard > 0 && heard < PgHost.LONG / 2, "cut after " + heard);
+            assertTrue(heard > 0 && heard < PgHost.LONG_VALUE_LENGTH / 2, "cut after " + heard);
         } catch (SocketException e) {
             // Cut while more was on its way: that tells as well.
         }
         program.awaitFigure("failed.write=1");
-        assertEquals(1, primary.seen.size());
+        assertEquals(1, primary.requestIds.size());
     }
 
     /** All of a file counts from SIGHUP on, or nothing of it; an open request keeps its class. */
@@ -161,8 +163,8 @@
         String before = Program.config(discovery.port(), list("SERVING"), true);
         String after = before.replace("\"name\":\"any\"", "\"name\":\"fresh-one\"")
                 .replace("\"maxAttempts\":8", "\"maxAttempts\":2");
-        replica.script.put("old", Act.SILENT);
-        primary.script.put("old", Act.SILENT);
+        replica.behaviors.put("old", HostBehavior.SILENT);
+        primary.behaviors.put("old", HostBehavior.SILENT);
         try (Client.Pg client = new Client.Pg(program.port(0));
                 Client.Pg waits = new Client.Pg(program.port(0))) {
             assertEquals("served one", client.ask(false, "id=one,c=any,cluster=1", 4000));
@@ -207,11 +209,11 @@
     @Test
     void upgradeTurnsNoClientBack() throws Exception {
         int port = program.port(0);
-        primary.script.put("held", Act.SILENT);
+        primary.behaviors.put("held", HostBehavior.SILENT);
         try (Client.Pg idle = new Client.Pg(port);
                 Client.Pg holds = new Client.Pg(port)) {
             holds.send(true, "id=held,c=write,cluster=1", 1500);
-            Program.await(() -> primary.seen.contains("held"), "the write");
+            Program.await(() -> primary.requestIds.contains("held"), "the write");
             try (Program next = Program.serve(port, discovery.port(), list("SERVING"), true, null)) {
                 assertEquals(port, next.port(0));
                 Program.await(() -> says(next, "ok\n"), "the new process to take clients");
--- a/src/test/java/mintstair/program/DescriptorsTest.java
+++ b/src/test/java/mintstair/program/DescriptorsTest.java
@@ -9,7 +9,7 @@
 import mintstair.standin.Client;
 import mintstair.standin.Discovery;
 import mintstair.standin.PgHost;
-import mintstair.standin.Relay;
+import mintstair.standin.TcpRelay;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -27,14 +27,14 @@
         PgHost late = new PgHost("l", false, AHEAD);
         List<Client> idle = new ArrayList<>();
         try (Discovery discovery = new Discovery(primary.listed("SERVING"));
-                Relay way = new Relay(discovery.port());
+                TcpRelay way = new TcpRelay(discovery.port());
                 Program program = Program.limited(
                         SOCKETS,
                         Program.config(way.port(), primary.listed("SERVING"), true)
                                 .replace("\"sockets\":1024", "\"sockets\":" + SOCKETS))) {
             int port = program.port(0);
-            Program.await(() -> discovery.asked.size() > 1, "a watch");
-            way.refuse(true);
+            Program.await(() -> discovery.queries.size() > 1, "a watch");
+            way.setRefusing(true);
             // More than there are descriptors; each rests once it has been heard, those that find no room are told or
             // closed.
             for (int i = 0; i < SOCKETS + 40; i++) {
@@ -43,14 +43,14 @@
             program.reload(Program.config(way.port(), primary.listed("SERVING"), true)
                     .replace("\"maxAttempts\":8", "\"maxAttempts\":5"));
             program.awaitFigure("reloads_ok=1");
-            discovery.tell(primary.listed("SERVING") + "," + late.listed("SERVING"));
-            way.refuse(false);
+            discovery.publish(primary.listed("SERVING") + "," + late.listed("SERVING"));
+            way.setRefusing(false);
             program.awaitFigure("db_hosts_known=2");
             assertEquals("served w", asks(port, "w", true));
-            for (int i = 0; i < 40 && late.seen.isEmpty(); i++) {
+            for (int i = 0; i < 40 && late.requestIds.isEmpty(); i++) {
                 assertTrue(asks(port, "r" + i, false).startsWith("served"));
             }
-            assertTrue(!late.seen.isEmpty(), "the host listed last is reached");
+            assertTrue(!late.requestIds.isEmpty(), "the host listed last is reached");
             program.end();
             assertTrue(program.lines("unexpected").isEmpty(), program.printed.toString());
         } finally {
--- a/src/test/java/mintstair/program/FailingCallsTest.java
+++ b/src/test/java/mintstair/program/FailingCallsTest.java
@@ -72,10 +72,10 @@
             for (Fault fault : call == Call.SOCKET ? new Fault[] {Fault.ENFILE, Fault.EMFILE, Fault.ENOBUFS} : faults) {
                 shim.fail(call, fault, 500);
                 serveNewClients(call + " fails with " + fault);
-                shim.heal();
+                shim.stopFailures();
             }
         }
-        assertTrue(shim.failed(Call.ACCEPT) > 0);
+        assertTrue(shim.failureCount(Call.ACCEPT) > 0);
         program.end();
     }
 
@@ -85,8 +85,10 @@
         shim.fail(Call.WRITE, Fault.ONE_BYTE, 700);
         shim.fail(Call.EPOLL_WAIT, Fault.EINTR, 500);
         serveNewClients("short reads, short writes, interrupted waits");
-        shim.heal();
-        assertTrue(shim.failed(Call.READ) > 0 && shim.failed(Call.WRITE) > 0 && shim.failed(Call.EPOLL_WAIT) > 0);
+        shim.stopFailures();
+        assertTrue(shim.failureCount(Call.READ) > 0
+                && shim.failureCount(Call.WRITE) > 0
+                && shim.failureCount(Call.EPOLL_WAIT) > 0);
         program.end();
     }
 
@@ -98,9 +100,10 @@
         program.end();
         shim.fail(Call.SOCKET, Fault.ENFILE, 1_000);
         try (Program next = Program.shimmed(shim, Program.config(discovery.port(), primary.listed("SERVING"), false))) {
-            long failed = shim.failed(Call.SOCKET);
-            Program.await(() -> shim.failed(Call.SOCKET) > failed + 20 || !next.process.isAlive(), "calls that fail");
-            shim.heal();
+            long failed = shim.failureCount(Call.SOCKET);
+            Program.await(
+                    () -> shim.failureCount(Call.SOCKET) > failed + 20 || !next.process.isAlive(), "calls that fail");
+            shim.stopFailures();
             try (Client.Pg client = new Client.Pg(next.port(0))) {
                 serve(client, "a client that came after the start");
             }
@@ -118,14 +121,14 @@
             for (int i = 0; i < CLIENTS; i++) {
                 waiting.add(new Client.Pg(program.port(0), true));
             }
-            Program.await(() -> shim.failed(Call.ACCEPT) > 0, "an accept that fails");
+            Program.await(() -> shim.failureCount(Call.ACCEPT) > 0, "an accept that fails");
             Duration before = cpu();
             long began = System.nanoTime();
             Program.await(
                     () -> System.nanoTime() - began > Duration.ofSeconds(2).toNanos(), "two seconds");
             serve(held, "a client that is connected");
             Duration spent = cpu().minus(before);
-            shim.heal();
+            shim.stopFailures();
             for (Client.Pg client : waiting) {
                 client.raw(Client.Pg.startup());
                 client.answer();
@@ -135,7 +138,7 @@
             // A tenth of a core, and as much for the start, which may go on behind the first answers.
             assertTrue(
                     spent.toMillis() < 400,
-                    "spent " + spent.toMillis() + " ms of CPU in 2 s on " + shim.failed(Call.ACCEPT) + " calls");
+                    "spent " + spent.toMillis() + " ms of CPU in 2 s on " + shim.failureCount(Call.ACCEPT) + " calls");
         }
         program.end();
     }
--- a/src/test/java/mintstair/program/LeaversProgramTest.java
+++ b/src/test/java/mintstair/program/LeaversProgramTest.java
@@ -10,7 +10,7 @@
 import mintstair.standin.Client;
 import mintstair.standin.Discovery;
 import mintstair.standin.PgHost;
-import mintstair.standin.Relay;
+import mintstair.standin.TcpRelay;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -33,10 +33,10 @@
         String before = String.join(",", primary.listed("SERVING"), stays.listed("SERVING"), leaver.listed("SERVING"));
         List<AutoCloseable> open = new ArrayList<>(List.of(primary, stays, leaver));
         try (Discovery discovery = new Discovery(before)) {
-            List<Relay> ways = new ArrayList<>();
+            List<TcpRelay> ways = new ArrayList<>();
             List<Program> programs = new ArrayList<>();
             for (int i = 0; i < LIMITS.length; i++) {
-                ways.add(new Relay(discovery.port()));
+                ways.add(new TcpRelay(discovery.port()));
                 programs.add(Program.serve(ways.get(i).port(), before, true, null));
             }
             open.addAll(ways);
@@ -47,24 +47,24 @@
             }
             open.addAll(clients);
             ask(clients, "first");
-            ways.get(0).cut();
-            ways.get(1).mute();
-            ways.get(2).refuse(true);
-            ways.get(3).silence(true);
-            leaver.witness = line -> last.set(Character.digit(line.charAt(1), 10), System.nanoTime());
-            discovery.tell(
+            ways.get(0).closeAll();
+            ways.get(1).muteOpenConnections();
+            ways.get(2).setRefusing(true);
+            ways.get(3).setSilent(true);
+            leaver.observer = line -> last.set(Character.digit(line.charAt(1), 10), System.nanoTime());
+            discovery.publish(
                     String.join(",", primary.listed("SERVING"), stays.listed("SERVING"), leaver.listed("DRAINING")));
             long told = System.nanoTime();
             askUntilTheyKnow(programs.subList(0, 2), clients);
-            ways.get(2).refuse(false);
-            ways.get(3).silence(false);
+            ways.get(2).setRefusing(false);
+            ways.get(3).setSilent(false);
             long back = System.nanoTime();
             askUntilTheyKnow(programs, clients);
-            int seen = leaver.seen.size();
+            int seen = leaver.requestIds.size();
             for (int n = 0; n < 10; n++) {
                 ask(clients, "after" + n);
             }
-            assertEquals(seen, leaver.seen.size());
+            assertEquals(seen, leaver.requestIds.size());
             for (int i = 0; i < LIMITS.length; i++) {
                 long late = (last.get(i) - (i < 2 ? told : back)) / 1_000_000;
                 assertTrue(late < LIMITS[i], "process " + i + ": " + late + " ms");
--- a/src/test/java/mintstair/program/ManyHostsTest.java
+++ b/src/test/java/mintstair/program/ManyHostsTest.java
@@ -14,7 +14,7 @@
             program.port(0);
             program.awaitFigure("db_hosts_known=1024");
             program.awaitFigure("db_hosts_excluded=1");
-            discovery.tell(Discovery.hosts(1023));
+            discovery.publish(Discovery.hosts(1023));
             program.awaitFigure("db_hosts_known=1023");
             program.terminate();
             assertEquals(0, program.exit());
--- a/src/test/java/mintstair/program/MembershipProgramTest.java
+++ b/src/test/java/mintstair/program/MembershipProgramTest.java
@@ -189,18 +189,18 @@
     @Test
     void linksThatFailOneWayOrAreSlowKillNobody() throws Exception {
         start(5);
-        relay.link(0, 1, FaultRelay.Link.CUT);
-        relay.link(2, 3, FaultRelay.Link.CUT);
-        relay.between(1, 4, new FaultRelay.Link(false, 300));
-        relay.between(0, 4, new FaultRelay.Link(false, 300));
+        relay.setLink(0, 1, FaultRelay.Link.CUT);
+        relay.setLink(2, 3, FaultRelay.Link.CUT);
+        relay.setLinks(1, 4, new FaultRelay.Link(false, 300));
+        relay.setLinks(0, 4, new FaultRelay.Link(false, 300));
         long begun = System.nanoTime();
         long before = figure(programs.get(0), "member_messages_sent");
         Program.await(
                 () -> System.nanoTime() - begun > TimeUnit.SECONDS.toNanos(12),
                 "12 s to pass, longer than a suspicion");
         assertTrue(figure(programs.get(0), "member_messages_sent") > before + 20, "they go on");
-        relay.between(0, 1, FaultRelay.Link.GOOD);
-        relay.link(2, 3, FaultRelay.Link.GOOD);
+        relay.setLinks(0, 1, FaultRelay.Link.GOOD);
+        relay.setLink(2, 3, FaultRelay.Link.GOOD);
         awaitAlive(programs, 5);
         for (Program program : programs) {
             assertEquals(0, figure(program, "member_deaths"));
--- a/src/test/java/mintstair/program/MongoFrontTest.java
+++ b/src/test/java/mintstair/program/MongoFrontTest.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import mintstair.standin.Client;
 import mintstair.standin.MongoHost;
-import mintstair.standin.StandInHost.Act;
+import mintstair.standin.StandInHost.HostBehavior;
 import mintstair.wire.MongoMessage;
 import org.bson.BsonArray;
 import org.bson.BsonDocument;
@@ -103,13 +103,13 @@
         client.raw(ByteBuffer.allocate(64).putInt(0x40000000).putInt(1).array());
         assertEquals(9, client.read().getNumber("code").intValue());
         assertEquals(-1, client.in.read(), "after garbage the connection ends");
-        assertTrue(primary.seen.isEmpty() && replica.seen.isEmpty());
+        assertTrue(primary.requestIds.isEmpty() && replica.requestIds.isEmpty());
     }
 
     @Test
     void refusalsSayThatARetryIsHarmlessAndFailuresDoNot() throws IOException {
-        primary.script.put("full", Act.FULL);
-        primary.script.put("broken", Act.BREAK);
+        primary.behaviors.put("full", HostBehavior.FULL);
+        primary.behaviors.put("broken", HostBehavior.BREAK);
         BsonDocument insert = BsonDocument.parse("{insert: 'e', documents: [{a: 1}], maxTimeMS: 100}");
         BsonDocument refused =
                 client.command(insert.clone().append("comment", new BsonString("id=full,c=write,cluster=1")));
@@ -122,12 +122,13 @@
                 .append("comment", new BsonString("id=broken,c=write,cluster=1")));
         assertEquals(6, failed.getNumber("code").intValue());
         assertFalse(failed.containsKey("errorLabels"));
-        assertEquals(1, primary.seen.stream().filter("broken"::equals).count(), "what may have run is not resent");
+        assertEquals(
+                1, primary.requestIds.stream().filter("broken"::equals).count(), "what may have run is not resent");
     }
 
     @Test
     void deadlineIsPassedOnAndKept() throws IOException {
-        primary.script.put("silent", Act.SILENT);
+        primary.behaviors.put("silent", HostBehavior.SILENT);
         BsonDocument late = client.command(BsonDocument.parse(
                 "{insert: 'e', documents: [{a: 1}], maxTimeMS: 200, comment: {id: 'silent', c: 'write', cluster: 1}}"));
         assertEquals(50, late.getNumber("code").intValue(), late.toJson());
@@ -143,7 +144,7 @@
     /** Guards against a resend for a client that is gone, and against one message read as half of two. */
     @Test
     void clientThatDropsItsWriteHalfwayOrAfterwardsCausesNoResend() throws IOException {
-        primary.script.put("gone", Act.SILENT);
+        primary.behaviors.put("gone", HostBehavior.SILENT);
         try (Client.Mongo half = new Client.Mongo(program.port(1));
                 Client.Mongo whole = new Client.Mongo(program.port(1))) {
             byte[] words = MongoMessage.opMsg(
@@ -152,11 +153,11 @@
                     0);
             half.raw(Arrays.copyOf(words, words.length - 1));
             whole.send(true, "id=gone,c=write,cluster=1", 4000);
-            Program.await(() -> primary.seen.contains("gone"), "the write");
+            Program.await(() -> primary.requestIds.contains("gone"), "the write");
         }
         // Later requests pass the same pools: had anything been resent, it would have come before them.
         assertEquals("served after", client.ask(true, "id=after,c=write,cluster=1", 4000));
-        assertEquals(List.of("gone", "after"), List.copyOf(primary.seen));
+        assertEquals(List.of("gone", "after"), List.copyOf(primary.requestIds));
     }
 
     @Test
@@ -184,7 +185,7 @@
     @Test
     void cursorOfAReplicaThatFellBehindIsNotFoundAndFreed() throws IOException {
         client.command(find("first", ""));
-        Program.await(() -> replica.seen.contains("first"), "the replica's position");
+        Program.await(() -> replica.requestIds.contains("first"), "the replica's position");
         BsonDocument read = BsonDocument.parse("{find: 'e', comment: {id: 'cursor', c: 'session', cluster: 1, after: "
                 + "NumberLong('" + (AHEAD - 5000) + "')}, maxTimeMS: 4000}");
         long id = client.command(read).getDocument("cursor").getNumber("id").longValue();
@@ -193,6 +194,6 @@
                 + "comment: {after: NumberLong('" + (AHEAD + 5000) + "')}, maxTimeMS: 500}"));
         assertEquals(43, more.getNumber("code").intValue(), more.toJson());
         Program.await(() -> replica.cursors.isEmpty(), "the host to free the cursor");
-        assertEquals(1, replica.seen.stream().filter("cursor"::equals).count(), "no getMore came to the replica");
+        assertEquals(1, replica.requestIds.stream().filter("cursor"::equals).count(), "no getMore came to the replica");
     }
 }
--- a/src/test/java/mintstair/program/Program.java
+++ b/src/test/java/mintstair/program/Program.java
@@ -133,7 +133,7 @@
     /** The i-th of so many proxies that know each other through a relay; its name is m and its number. */
     public static Program member(FaultRelay relay, int i, int proxies) throws IOException {
         String seeds = IntStream.range(0, 3)
-                .mapToObj(seed -> '"' + relay.advertise(seed) + '"')
+                .mapToObj(seed -> '"' + relay.advertisedAddress(seed) + '"')
                 .collect(Collectors.joining(","));
         Path folder = Files.createTempDirectory("mintstair");
         Path config = folder.resolve("config.json");
@@ -145,8 +145,8 @@
                         .replace("\"balancers\":1", "\"balancers\":" + proxies));
         Files.writeString(
                 file,
-                "{\"membership\":{\"fleet\":\"test\",\"listen\":\"" + relay.listen(i) + "\",\"advertise\":\""
-                        + relay.advertise(i) + "\",\"seeds\":[" + seeds + "]}}");
+                "{\"membership\":{\"fleet\":\"test\",\"listen\":\"" + relay.listenAddress(i) + "\",\"advertise\":\""
+                        + relay.advertisedAddress(i) + "\",\"seeds\":[" + seeds + "]}}");
         return new Program("serve", "--operator", file.toString(), config.toString());
     }
 
--- a/src/test/java/mintstair/program/ProgramTest.java
+++ b/src/test/java/mintstair/program/ProgramTest.java
@@ -12,7 +12,7 @@
 import mintstair.standin.Client;
 import mintstair.standin.Discovery;
 import mintstair.standin.PgHost;
-import mintstair.standin.StandInHost.Act;
+import mintstair.standin.StandInHost.HostBehavior;
 import mintstair.wire.PgWriter;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -90,16 +90,16 @@
                 assertEquals("failed", client.answer());
             }
         }
-        assertTrue(primary.seen.size() + replica.seen.size() == 1, "only the good one was passed on");
+        assertTrue(primary.requestIds.size() + replica.requestIds.size() == 1, "only the good one was passed on");
     }
 
     @Test
     void writeThatMayHaveRunIsFailedOnceAndOneTurnedAwayIsRefusedWithAComeBack() throws IOException {
-        primary.script.put("broken", Act.BREAK);
-        primary.script.put("full", Act.FULL);
+        primary.behaviors.put("broken", HostBehavior.BREAK);
+        primary.behaviors.put("full", HostBehavior.FULL);
         try (Client.Pg client = new Client.Pg(program.port(0))) {
             assertEquals("failed", client.ask(true, "id=broken,c=write,cluster=1", 2000));
-            assertEquals(1, primary.seen.stream().filter("broken"::equals).count());
+            assertEquals(1, primary.requestIds.stream().filter("broken"::equals).count());
             String refused = client.ask(true, "id=full,c=write,cluster=1", 100);
             assertTrue(refused.startsWith("refused ") && !refused.equals("refused 0"), refused);
         }
@@ -108,8 +108,8 @@
     /** A host that accepts and never speaks: its requests go elsewhere or end in time, and others are served. */
     @Test
     void silentHostCostsNoAnswer() throws IOException {
-        replica.script.put("lost", Act.SILENT);
-        primary.script.put("lost", Act.SILENT);
+        replica.behaviors.put("lost", HostBehavior.SILENT);
+        primary.behaviors.put("lost", HostBehavior.SILENT);
         try (Client.Pg client = new Client.Pg(program.port(0))) {
             assertTrue(client.ask(false, "id=lost,c=any,cluster=1", 300).startsWith("refused"));
             assertEquals("served next", client.ask(false, "id=next,c=any,cluster=1", 4000));
@@ -119,18 +119,18 @@
     @Test
     void watchTellsOfDrainsAndABrokenListKeepsTheLast() throws IOException {
         try (Client.Pg client = new Client.Pg(program.port(0))) {
-            discovery.tell("{\"uid\":17}");
-            int asked = discovery.asked.size();
-            Program.await(() -> discovery.asked.size() > asked + 1, "the watch to ask again");
+            discovery.publish("{\"uid\":17}");
+            int asked = discovery.queries.size();
+            Program.await(() -> discovery.queries.size() > asked + 1, "the watch to ask again");
             assertEquals("served kept", client.ask(false, "id=kept,c=any,cluster=1", 4000));
-            discovery.tell(primary.listed("SERVING") + "," + replica.listed("DRAINING"));
+            discovery.publish(primary.listed("SERVING") + "," + replica.listed("DRAINING"));
             // The next question alone proves nothing: it may be the one that brings the list.
             program.awaitFigure("db_hosts_excluded=1");
-            int before = replica.seen.size();
+            int before = replica.requestIds.size();
             for (int i = 0; i < 20; i++) {
                 assertEquals("served after" + i, client.ask(false, "id=after" + i + ",c=any,cluster=1", 4000));
             }
-            assertTrue(replica.seen.size() <= before + 1, "a draining host gets nothing new");
+            assertTrue(replica.requestIds.size() <= before + 1, "a draining host gets nothing new");
         }
     }
 
@@ -150,12 +150,12 @@
             for (int i = 0; i < 3; i++) {
                 program.reload(Program.config(next.port(), primary.listed("SERVING"), true));
             }
-            Program.await(() -> next.asked.stream().anyMatch(query -> query.contains("index=")), "the new discovery");
-            int before = replica.seen.size();
+            Program.await(() -> next.queries.stream().anyMatch(query -> query.contains("index=")), "the new discovery");
+            int before = replica.requestIds.size();
             for (int i = 0; i < 20; i++) {
                 assertEquals("served new" + i, client.ask(false, "id=new" + i + ",c=any,cluster=1", 4000));
             }
-            assertTrue(replica.seen.size() <= before + 1, "the new discovery's list is in force");
+            assertTrue(replica.requestIds.size() <= before + 1, "the new discovery's list is in force");
         }
         program.terminate();
         program.reload(Program.config(discovery.port(), primary.listed("SERVING"), true));
@@ -165,11 +165,11 @@
     /** SIGTERM while a request is held: it is answered, a new client is still served, and the end is a good one. */
     @Test
     void terminationFinishesWhatIsHeldAndCounts() throws Exception {
-        primary.script.put("held", Act.SILENT);
+        primary.behaviors.put("held", HostBehavior.SILENT);
         int port = program.port(0);
         try (Client.Pg client = new Client.Pg(port)) {
             client.send(true, "id=held,c=write,cluster=1", 1500);
-            Program.await(() -> primary.seen.contains("held"), "the write");
+            Program.await(() -> primary.requestIds.contains("held"), "the write");
             program.terminate();
             try (Client.Pg late = new Client.Pg(port)) {
                 assertEquals("served late", late.ask(false, "id=late,c=any,cluster=1", 4000));
@@ -196,7 +196,7 @@
             }
             recording.terminate();
             assertEquals(0, recording.exit());
-            List<String> once = List.copyOf(primary.seen);
+            List<String> once = List.copyOf(primary.requestIds);
             try (Program replay = new Program(
                     "replay", "--to", "127.0.0.1:" + program.port(0), "--port", "" + port, file.toString())) {
                 assertEquals(0, replay.exit());
@@ -206,7 +206,7 @@
                                 == 1,
                         "the line on the replay: " + replay.printed);
             }
-            assertEquals(once, List.copyOf(primary.seen).subList(5, 10));
+            assertEquals(once, List.copyOf(primary.requestIds).subList(5, 10));
         }
     }
 
--- a/src/test/java/mintstair/program/RegistryProgramTest.java
+++ b/src/test/java/mintstair/program/RegistryProgramTest.java
@@ -20,7 +20,7 @@
 import mintstair.standin.MongoHost;
 import mintstair.standin.PgHost;
 import mintstair.standin.RegistryModel;
-import mintstair.standin.Relay;
+import mintstair.standin.TcpRelay;
 import mintstair.traffic.RecordedExchange;
 import mintstair.traffic.Recording;
 import mintstair.traffic.TimeLine;
@@ -38,8 +38,8 @@
     private PgHost replica;
     private EtcdMember one;
     private EtcdMember two;
-    private Relay first;
-    private Relay second;
+    private TcpRelay first;
+    private TcpRelay second;
 
     @TempDir
     Path folder;
@@ -50,8 +50,8 @@
         replica = new PgHost("r", false, AHEAD);
         one = new EtcdMember(model);
         two = new EtcdMember(model);
-        first = new Relay(one.port());
-        second = new Relay(two.port());
+        first = new TcpRelay(one.port());
+        second = new TcpRelay(two.port());
         model.change(
                 new TreeMap<>(Map.of(HOSTS + "p", primary.listed("SERVING"), HOSTS + "r", replica.listed("SERVING"))));
     }
@@ -83,7 +83,7 @@
     @Test
     void aDrainReachesTheHostsRuleThroughTheBreakOfAnEndpoint() throws Exception {
         Map<String, Long> at = new ConcurrentHashMap<>();
-        replica.witness = line -> at.put(line, System.nanoTime());
+        replica.observer = line -> at.put(line, System.nanoTime());
         try (Program program = serve(operator(""))) {
             program.awaitFigure("registry_live=1");
             int port = program.port(0);
@@ -106,7 +106,7 @@
             }
             load.forEach(Thread::start);
             Program.await(() -> at.size() > 200, "load at the replica");
-            first.silence(true);
+            first.setSilent(true);
             long written = System.nanoTime();
             model.put(HOSTS + "r", replica.listed("DRAINING"));
             // Known to the proxy at the latest when its figures show the revision; the rule counts from the write.
@@ -162,8 +162,8 @@
             Program.await(() -> Files.exists(folder.resolve("kept")), "the snapshot");
             program.process.destroyForcibly().waitFor();
         }
-        first.refuse(true);
-        second.refuse(true);
+        first.setRefusing(true);
+        second.setRefusing(true);
         try (Program program = serve(operator)) {
             try (Client.Pg client = new Client.Pg(program.port(0))) {
                 assertEquals("served x", client.ask(true, "id=x,c=write,cluster=1", 4000));
@@ -173,7 +173,7 @@
                     1,
                     program.lines("registry: starting from " + folder.resolve("kept"))
                             .size());
-            first.refuse(false);
+            first.setRefusing(false);
             program.awaitFigure("registry_live=1");
         }
     }
@@ -206,8 +206,8 @@
         Path operator = Files.writeString(folder.resolve("operator.json"), operator(""));
         try (Program watch = new Program("registry", "watch", operator.toString())) {
             Program.await(() -> watch.lines("2 postgresql ").size() == 2, "the first list");
-            first.cut();
-            second.cut();
+            first.closeAll();
+            second.closeAll();
             model.put(HOSTS + "r", replica.listed("DRAINING"));
             model.delete(HOSTS + "p");
             Program.await(() -> watch.lines("4 postgresql p DELETED ").size() == 1, "the deletion: " + watch.printed);
--- a/src/test/java/mintstair/program/ShutdownTest.java
+++ b/src/test/java/mintstair/program/ShutdownTest.java
@@ -15,7 +15,7 @@
 import mintstair.standin.Client;
 import mintstair.standin.Discovery;
 import mintstair.standin.PgHost;
-import mintstair.standin.StandInHost.Act;
+import mintstair.standin.StandInHost.HostBehavior;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -89,13 +89,13 @@
             // Group 2 has no primary; the primary of group 3 takes connections and says nothing.
             known += "," + inGroup(2, replica.listed("SERVING"), replica.port()) + ","
                     + inGroup(3, primary.listed("SERVING"), mute.getLocalPort());
-            discovery.tell(known);
-            primary.script.put("sent", Act.SILENT);
-            replica.script.put("read", Act.SILENT);
-            primary.script.put("read", Act.SILENT);
-            primary.script.put("half", Act.LONG_TORN);
-            primary.script.put("again", Act.FULL);
-            replica.script.put("again", Act.FULL);
+            discovery.publish(known);
+            primary.behaviors.put("sent", HostBehavior.SILENT);
+            replica.behaviors.put("read", HostBehavior.SILENT);
+            primary.behaviors.put("read", HostBehavior.SILENT);
+            primary.behaviors.put("half", HostBehavior.LONG_TORN);
+            primary.behaviors.put("again", HostBehavior.FULL);
+            replica.behaviors.put("again", HostBehavior.FULL);
             program = Program.serve(
                     Program.config(discovery.port(), known, false).replace("\"deadlineS\":5", "\"deadlineS\":20"),
                     null);
@@ -114,10 +114,11 @@
             clients.get(5).raw(Arrays.copyOf(late, late.length / 2));
             assertEquals('T', clients.get(4).in.read(), "half an answer");
             Program.await(
-                    () -> primary.seen.contains("again") && replica.seen.contains("again"), "an attempt at each host");
+                    () -> primary.requestIds.contains("again") && replica.requestIds.contains("again"),
+                    "an attempt at each host");
             Program.await(
-                    () -> primary.seen.contains("sent")
-                            && (replica.seen.contains("read") || primary.seen.contains("read")),
+                    () -> primary.requestIds.contains("sent")
+                            && (replica.requestIds.contains("read") || primary.requestIds.contains("read")),
                     "the sends");
             mute.accept();
             long told = System.nanoTime();
@@ -138,19 +139,19 @@
             assertRefused(clients.get(7));
             long took = (System.nanoTime() - told) / 1_000_000;
             assertTrue(took < KILLED, "answers after " + took + " ms");
-            primary.trail.release();
+            primary.trailingAllowed.release();
             int rest = 0;
             try {
                 rest = clients.get(4).in.readAllBytes().length;
             } catch (IOException e) {
                 // Cut while more was on its way: that tells as well.
             }
-            assertTrue(rest < PgHost.LONG, "cut, not ended");
+            assertTrue(rest < PgHost.LONG_VALUE_LENGTH, "cut, not ended");
             assertEquals(0, program.exit());
             for (Client.Pg client : clients) {
                 client.close();
             }
-            assertEquals(1, primary.seen.stream().filter("sent"::equals).count());
+            assertEquals(1, primary.requestIds.stream().filter("sent"::equals).count());
         }
     }
 
@@ -201,11 +202,11 @@
         program = Program.serve(
                 Program.config(discovery.port(), known, true),
                 "{\"store\":{\"member\":\"n1\",\"members\":{" + members + "},\"folder\":\"" + folder + "\"}}");
-        primary.script.put("held", Act.SILENT);
+        primary.behaviors.put("held", HostBehavior.SILENT);
         int port = program.port(0);
         try (Client.Pg client = new Client.Pg(port)) {
             client.send(true, "id=held,c=write,cluster=1", 1_000);
-            Program.await(() -> primary.seen.contains("held"), "the write");
+            Program.await(() -> primary.requestIds.contains("held"), "the write");
             program.terminate();
             assertEquals("failed", client.answer());
         }
@@ -250,7 +251,7 @@
             try (Client.Pg client = new Client.Pg(program.port(0))) {
                 program.awaitFigure("reloads_ok=1");
                 assertEquals("served new", client.ask(false, "id=new,c=fresh-one,cluster=1", 4_000));
-                Program.await(() -> !next.asked.isEmpty(), "the discovery that the file names now");
+                Program.await(() -> !next.queries.isEmpty(), "the discovery that the file names now");
             }
         }
     }
--- a/src/test/java/mintstair/program/SteppedClockTest.java
+++ b/src/test/java/mintstair/program/SteppedClockTest.java
@@ -11,7 +11,7 @@
 import mintstair.standin.Discovery;
 import mintstair.standin.FaultShim;
 import mintstair.standin.PgHost;
-import mintstair.standin.StandInHost.Act;
+import mintstair.standin.StandInHost.HostBehavior;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -51,8 +51,8 @@
 
     /** What a request comes to that no host answers, and after how many milliseconds. */
     private void endsInTime(String id) throws IOException {
-        primary.script.put(id, Act.SILENT);
-        replica.script.put(id, Act.SILENT);
+        primary.behaviors.put(id, HostBehavior.SILENT);
+        replica.behaviors.put(id, HostBehavior.SILENT);
         try (Client.Pg client = new Client.Pg(program.port(0))) {
             long sent = System.nanoTime();
             String answer = client.ask(false, "id=" + id + ",c=any,cluster=1", DEADLINE_MILLIS);
@@ -95,10 +95,10 @@
     /** Ends in order within what SIGKILL leaves, though its clock is set back while it ends. */
     @Test
     void terminationIsNotHeldUpByAClockThatIsSetBack() throws Exception {
-        primary.script.put("held", Act.SILENT);
+        primary.behaviors.put("held", HostBehavior.SILENT);
         try (Client.Pg client = new Client.Pg(program.port(0))) {
             client.send(true, "id=held,c=write,cluster=1", 5_000);
-            Program.await(() -> primary.seen.contains("held"), "the request at its host");
+            Program.await(() -> primary.requestIds.contains("held"), "the request at its host");
             program.terminate();
             Program.await(() -> !program.lines("ending: ").isEmpty(), "the end to begin");
             shim.shiftWallClock(Duration.ofHours(-1));
--- a/src/test/java/mintstair/registry/RegistryClientTest.java
+++ b/src/test/java/mintstair/registry/RegistryClientTest.java
@@ -24,8 +24,8 @@
 import mintstair.registry.etcd.EtcdMember;
 import mintstair.registry.view.ViewUpdate;
 import mintstair.standin.ConsulServer;
-import mintstair.standin.Keys;
 import mintstair.standin.RegistryModel;
+import mintstair.standin.SelfSignedCertificate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -71,8 +71,8 @@
 
     @Test
     void connectionFailsUnlessBothSidesTrustEachOther() throws Exception {
-        Keys server = new Keys(folder, "server");
-        Keys client = new Keys(folder, "client");
+        SelfSignedCertificate server = new SelfSignedCertificate(folder, "server");
+        SelfSignedCertificate client = new SelfSignedCertificate(folder, "client");
         putHost("a", 1);
         RegistryConfig.Tls trusted = new RegistryConfig.Tls(server.certificate, client.certificate, client.key);
         RegistryConfig.Tls withoutCertificate = new RegistryConfig.Tls(server.certificate, null, null);
@@ -97,7 +97,8 @@
         }
     }
 
-    private static ServerCredentials mutualTls(Keys server, Keys client) throws IOException {
+    private static ServerCredentials mutualTls(SelfSignedCertificate server, SelfSignedCertificate client)
+            throws IOException {
         return TlsServerCredentials.newBuilder()
                 .keyManager(server.certificate.toFile(), server.key.toFile())
                 .trustManager(client.certificate.toFile())
--- a/src/test/java/mintstair/registry/TransportFailureTest.java
+++ b/src/test/java/mintstair/registry/TransportFailureTest.java
@@ -15,7 +15,7 @@
 import mintstair.registry.etcd.EtcdMember;
 import mintstair.standin.ConsulServer;
 import mintstair.standin.RegistryModel;
-import mintstair.standin.Relay;
+import mintstair.standin.TcpRelay;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -41,8 +41,8 @@
         model.change(manyHosts(1_200));
         try (EtcdMember one = new EtcdMember(model);
                 EtcdMember two = new EtcdMember(model);
-                Relay first = new Relay(one.port());
-                Relay second = new Relay(two.port());
+                TcpRelay first = new TcpRelay(one.port());
+                TcpRelay second = new TcpRelay(two.port());
                 RecordingClient client = new RecordingClient(config(Kind.ETCD, first.port(), second.port()), 3)) {
             client.awaitVersion("h1199", 1199);
             assertTrue(one.reads.get() + two.reads.get() >= 3, "expected at least three pages");
@@ -50,7 +50,7 @@
 
             for (int kind = 0; kind < 8; kind++) {
                 int server = client.metrics().server();
-                Relay relay = server == 0 ? first : second;
+                TcpRelay relay = server == 0 ? first : second;
                 EtcdMember member = server == 0 ? one : two;
                 etcdFailures(member, relay, List.of(first, second)).get(kind).begin();
                 putHost("h3", 6000 + kind);
@@ -85,29 +85,29 @@
         assertEquals(5001, client.version("h1"));
     }
 
-    private List<Failure> etcdFailures(EtcdMember member, Relay relay, List<Relay> allRelays) {
+    private List<Failure> etcdFailures(EtcdMember member, TcpRelay relay, List<TcpRelay> allRelays) {
         return List.of(
-                relay::cut,
-                () -> relay.tear(37),
-                () -> relay.refuse(true),
-                () -> relay.silence(true),
+                relay::closeAll,
+                () -> relay.closeAfter(37),
+                () -> relay.setRefusing(true),
+                () -> relay.setSilent(true),
                 () -> member.lagsAt = model.revision,
                 () -> compactWhileDisconnected(relay),
                 () -> member.noLeader = true,
                 () -> restoreAsOtherCluster(allRelays));
     }
 
-    private void compactWhileDisconnected(Relay relay) {
-        relay.cut();
+    private void compactWhileDisconnected(TcpRelay relay) {
+        relay.closeAll();
         model.delete(hostKey("h9"));
         putHost("h8", 7000);
         model.compact(model.revision);
     }
 
-    private void restoreAsOtherCluster(List<Relay> relays) {
+    private void restoreAsOtherCluster(List<TcpRelay> relays) {
         model.restore(model.revision - 1, OTHER_CLUSTER_ID);
-        for (Relay relay : relays) {
-            relay.cut();
+        for (TcpRelay relay : relays) {
+            relay.closeAll();
         }
     }
 
@@ -116,14 +116,14 @@
         putHost("a", 1);
         try (ConsulServer one = new ConsulServer(model, null);
                 ConsulServer two = new ConsulServer(model, null);
-                Relay first = new Relay(one.port());
-                Relay second = new Relay(two.port());
+                TcpRelay first = new TcpRelay(one.port());
+                TcpRelay second = new TcpRelay(two.port());
                 RecordingClient client = new RecordingClient(config(Kind.CONSUL, first.port(), second.port()), 3)) {
             client.awaitVersion("a", 1);
 
             for (int kind = 0; kind < 8; kind++) {
                 int index = client.metrics().server();
-                Relay relay = index == 0 ? first : second;
+                TcpRelay relay = index == 0 ? first : second;
                 ConsulServer server = index == 0 ? one : two;
                 consulFailures(server, relay, client).get(kind).begin();
                 putHost("a", 10 + kind);
@@ -138,12 +138,12 @@
         }
     }
 
-    private List<Failure> consulFailures(ConsulServer server, Relay relay, RecordingClient client) {
+    private List<Failure> consulFailures(ConsulServer server, TcpRelay relay, RecordingClient client) {
         return List.of(
-                relay::cut,
-                () -> relay.tear(30),
-                () -> relay.refuse(true),
-                () -> relay.silence(true),
+                relay::closeAll,
+                () -> relay.closeAfter(30),
+                () -> relay.setRefusing(true),
+                () -> relay.setSilent(true),
                 () -> server.status = 429,
                 () -> server.status = 503,
                 () -> server.noLeader = true,
@@ -156,8 +156,8 @@
         model.restore(model.revision - 3, 0);
     }
 
-    private static void repair(Relay relay) throws IOException {
-        relay.refuse(false);
-        relay.silence(false);
+    private static void repair(TcpRelay relay) throws IOException {
+        relay.setRefusing(false);
+        relay.setSilent(false);
     }
 }
--- a/src/test/java/mintstair/serve/AttemptRulesTest.java
+++ b/src/test/java/mintstair/serve/AttemptRulesTest.java
@@ -7,7 +7,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import mintstair.standin.Client;
-import mintstair.standin.LateHost;
+import mintstair.standin.ManualHost;
 import org.junit.jupiter.api.Test;
 
 /** Tests the checks that are made when an attempt is written, which may be long after the decision to send it. */
@@ -21,36 +21,36 @@
      */
     @Test
     void retryIsNotSentIfItsConnectionIsEstablishedAfterTheDeduplicationWindow() throws Exception {
-        LateHost host = lateHost();
+        ManualHost host = manualHost();
         serveDeduplicated(0.3, host("p", host.port(), true));
         Client.Pg client = client();
         client.send(true, "id=keyed,c=write,cluster=1", 5_000);
         host.accept();
-        host.greet(0);
-        assertTrue(host.statement(0).contains("id=keyed,"));
+        host.completeStartup(0);
+        assertTrue(host.readStatement(0).contains("id=keyed,"));
         long writtenMicros = loop.now();
-        host.end(0, true);
+        host.closeConnection(0, true);
         host.accept();
         awaitTime(writtenMicros + 350_000);
-        host.greet(1);
+        host.completeStartup(1);
         String answer = client.answer();
         assertTrue(answer.startsWith("refused") || answer.equals("failed"), answer);
         client.send(true, "id=next,c=write,cluster=1", 5_000);
-        String statement = host.statement(1);
+        String statement = host.readStatement(1);
         assertTrue(statement.contains("id=next,"), statement);
     }
 
     /** A request is read while the loop is blocked for 400 ms; the deadline sent to the host must exclude that time. */
     @Test
     void deadlineSentToTheHostIsMeasuredFromTheReadOfTheRequest() throws Exception {
-        LateHost late = lateHost();
+        ManualHost late = manualHost();
         serve(true, 1, host("p", late.port(), true));
         Client.Pg client = client();
         client.send(true, "id=warm,c=write,cluster=1", 5_000);
         late.accept();
-        late.greet(0);
-        late.statement(0);
-        late.say(0, LateHost.answer("warm"));
+        late.completeStartup(0);
+        late.readStatement(0);
+        late.send(0, ManualHost.reply("warm"));
         assertEquals("served warm", client.answer());
         CountDownLatch unblocked = new CountDownLatch(1);
         suspend(loop::execute, unblocked);
@@ -60,7 +60,7 @@
         awaitBytesRead(bytesBefore);
         awaitTime(loop.now() + 400_000);
         unblocked.countDown();
-        String statement = late.statement(0);
+        String statement = late.readStatement(0);
         long waitedMillis = (System.nanoTime() - sentNanos) / 1_000_000;
         Matcher deadline = SENT_DEADLINE.matcher(statement);
         assertTrue(deadline.find(), statement);
@@ -74,23 +74,23 @@
     /** The connection is established while the loop is blocked, which lasts until the request's deadline has passed. */
     @Test
     void attemptIsNotWrittenAfterTheDeadlineOfItsRequest() throws Exception {
-        LateHost late = lateHost();
+        ManualHost late = manualHost();
         serve(true, 1, host("p", late.port(), true));
         Client.Pg client = client();
         client.send(true, "id=over,c=write,cluster=1", 300);
         late.accept();
-        late.hear(0);
+        late.readStartup(0);
         CountDownLatch unblocked = new CountDownLatch(1);
         suspend(loop::execute, unblocked);
         long bytesBefore = bytesRead();
-        late.welcome(0);
+        late.answerStartup(0);
         awaitBytesRead(bytesBefore);
         awaitTime(loop.now() + 400_000);
         unblocked.countDown();
         String answer = client.answer();
         assertTrue(answer.startsWith("refused") || answer.equals("failed"), answer);
         client.send(true, "id=next,c=write,cluster=1", 5_000);
-        String statement = late.statement(0);
+        String statement = late.readStatement(0);
         assertTrue(statement.contains("id=next,"), statement);
     }
 }
--- a/src/test/java/mintstair/serve/BothFrontsTest.java
+++ b/src/test/java/mintstair/serve/BothFrontsTest.java
@@ -27,7 +27,7 @@
 import mintstair.standin.MongoHost;
 import mintstair.standin.PgHost;
 import mintstair.standin.StandInHost;
-import mintstair.standin.StandInHost.Act;
+import mintstair.standin.StandInHost.HostBehavior;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.junit.jupiter.api.Test;
 
@@ -74,15 +74,15 @@
                 factory.create("r2", false, BEHIND),
                 factory.create("r3", false, AHEAD));
         for (StandInHost host : hosts) {
-            host.witness = decisions::add;
-            host.script.put("break", Act.BREAK);
-            host.script.put("silent", Act.SILENT);
-            host.script.put("full", Act.FULL);
+            host.observer = decisions::add;
+            host.behaviors.put("break", HostBehavior.BREAK);
+            host.behaviors.put("silent", HostBehavior.SILENT);
+            host.behaviors.put("full", HostBehavior.FULL);
         }
         // Only some hosts fail on these, so that a retry on another host is served.
         for (StandInHost host : hosts.subList(2, 4)) {
-            host.script.put("error", Act.ERROR);
-            host.script.put("cut", Act.BREAK);
+            host.behaviors.put("error", HostBehavior.ERROR);
+            host.behaviors.put("cut", HostBehavior.BREAK);
         }
         return hosts;
     }
@@ -114,7 +114,8 @@
                 for (Query query : queries()) {
                     client.send(query.write, query.comment, query.deadlineMillis);
                     if (query.comment.startsWith("id=silent")) {
-                        Program.await(() -> hosts.stream().anyMatch(h -> h.seen.contains("silent")), "an attempt");
+                        Program.await(
+                                () -> hosts.stream().anyMatch(h -> h.requestIds.contains("silent")), "an attempt");
                         clock.addAndGet(query.deadlineMillis * 1000L);
                     } else if (query.comment.startsWith("id=full")) {
                         Program.await(() -> counters(loop, service).contains(" ended_turned_away=1"), "the rejection");
--- a/src/test/java/mintstair/serve/ConnectionEndsTest.java
+++ b/src/test/java/mintstair/serve/ConnectionEndsTest.java
@@ -19,7 +19,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import mintstair.program.Program;
 import mintstair.standin.Client;
-import mintstair.standin.LateHost;
+import mintstair.standin.ManualHost;
 import mintstair.standin.StandInHost;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -33,7 +33,7 @@
 class ConnectionEndsTest extends ServiceFixture {
     private final Set<Connection<?>> connections = ConcurrentHashMap.newKeySet();
     private final AtomicLong bytesRead = new AtomicLong();
-    private LateHost host;
+    private ManualHost host;
 
     @BeforeEach
     void start() throws IOException {
@@ -53,7 +53,7 @@
                 bytesRead.addAndGet(size);
             }
         });
-        host = lateHost();
+        host = manualHost();
         serve(true, 1, host("p", host.port(), true));
     }
 
@@ -76,9 +76,9 @@
             client.raw(all.toByteArray());
             if (n == 0) {
                 host.accept();
-                host.greet(0);
+                host.completeStartup(0);
             }
-            assertTrue(host.statement(0).contains("id=a" + n + ","));
+            assertTrue(host.readStatement(0).contains("id=a" + n + ","));
             boolean[] stop = new boolean[1];
             Thread sender = new Thread(() -> {
                 try {
@@ -90,10 +90,10 @@
                 }
             });
             sender.start();
-            host.say(0, LateHost.answer("a" + n));
+            host.send(0, ManualHost.reply("a" + n));
             assertEquals("served a" + n, client.answer());
-            assertTrue(host.statement(0).contains("id=b" + n + ","), "the request before the error");
-            host.say(0, LateHost.answer("b" + n));
+            assertTrue(host.readStatement(0).contains("id=b" + n + ","), "the request before the error");
+            host.send(0, ManualHost.reply("b" + n));
             assertEquals("served b" + n, client.answer());
             assertEquals("failed", client.answer());
             assertEquals("08P01", client.code);
@@ -168,8 +168,8 @@
         Client.Pg client = client();
         client.raw(write("one"));
         host.accept();
-        host.greet(0);
-        host.statement(0);
+        host.completeStartup(0);
+        host.readStatement(0);
         Program.await(() -> connections.size() >= 2, "the connections to the client and the host");
         for (Connection<?> connection : connections) {
             SocketChannel channel = (SocketChannel) ((NIOConnection) connection).getChannel();
@@ -180,15 +180,15 @@
     /** A host closes the connection within a reply: the write may have been executed, so it must not be retried. */
     @Test
     void writeFailsWithoutRetryIfItsReplyIsIncomplete() throws Exception {
-        byte[] answer = LateHost.answer("half");
+        byte[] answer = ManualHost.reply("half");
         for (int n = 0; n < 4; n++) {
             Client.Pg client = client();
             client.raw(write("h" + n));
             host.accept();
-            host.greet(n);
-            assertTrue(host.statement(n).contains("id=h" + n + ","));
-            host.say(n, Arrays.copyOf(answer, 1 + n * (answer.length / 5)));
-            host.end(n, n % 2 == 1);
+            host.completeStartup(n);
+            assertTrue(host.readStatement(n).contains("id=h" + n + ","));
+            host.send(n, Arrays.copyOf(answer, 1 + n * (answer.length / 5)));
+            host.closeConnection(n, n % 2 == 1);
             assertEquals("failed", client.answer(), "after " + n + " fifths");
         }
         assertEquals(4, service.counters.attemptsSent());
@@ -201,10 +201,10 @@
         for (int n = 0; n < 4; n++) {
             client.raw(write("i" + n));
             host.accept();
-            host.greet(n);
-            assertTrue(host.statement(n).contains("id=i" + n + ","));
-            host.say(n, LateHost.answer("i" + n));
-            host.end(n, n % 2 == 1);
+            host.completeStartup(n);
+            assertTrue(host.readStatement(n).contains("id=i" + n + ","));
+            host.send(n, ManualHost.reply("i" + n));
+            host.closeConnection(n, n % 2 == 1);
             assertEquals("served i" + n, client.answer());
         }
         assertEquals(4, service.counters.attemptsSent());
@@ -216,20 +216,20 @@
         Client.Pg client = client();
         client.raw(write("a"));
         host.accept();
-        host.greet(0);
-        host.statement(0);
-        host.say(0, LateHost.answer("a"));
+        host.completeStartup(0);
+        host.readStatement(0);
+        host.send(0, ManualHost.reply("a"));
         assertEquals("served a", client.answer());
         client.raw(write("b"));
-        assertTrue(host.statement(0).contains("id=b,"), "the connection is reused");
-        host.say(0, LateHost.answer("b"));
+        assertTrue(host.readStatement(0).contains("id=b,"), "the connection is reused");
+        host.send(0, ManualHost.reply("b"));
         assertEquals("served b", client.answer());
-        host.end(0, true);
+        host.closeConnection(0, true);
         client.raw(write("c"));
         host.accept();
-        host.greet(1);
-        assertTrue(host.statement(1).contains("id=c,"));
-        host.say(1, LateHost.answer("c"));
+        host.completeStartup(1);
+        assertTrue(host.readStatement(1).contains("id=c,"));
+        host.send(1, ManualHost.reply("c"));
         assertEquals("served c", client.answer());
     }
 
--- a/src/test/java/mintstair/serve/DisconnectedClientsTest.java
+++ b/src/test/java/mintstair/serve/DisconnectedClientsTest.java
@@ -11,9 +11,9 @@
 import mintstair.program.Program;
 import mintstair.request.EndpointList;
 import mintstair.standin.Client;
-import mintstair.standin.LateHost;
+import mintstair.standin.ManualHost;
 import mintstair.standin.PgHost;
-import mintstair.standin.StandInHost.Act;
+import mintstair.standin.StandInHost.HostBehavior;
 import org.junit.jupiter.api.Test;
 
 /** Tests that no attempt is sent for a client that has disconnected, whatever the state of its request. */
@@ -27,19 +27,19 @@
      * Waits until no request is in flight, sends another and establishes the host's connection, on which that request
      * must be the first.
      */
-    private void assertNextRequestIsTheFirstSent(LateHost late) throws IOException {
+    private void assertNextRequestIsTheFirstSent(ManualHost late) throws IOException {
         awaitMetric("in_flight", 0);
         Client.Pg next = client();
         next.send(true, "id=next,c=write,cluster=1", 15_000);
         awaitMetric("in_flight", 1);
-        late.greet(0);
-        String first = late.statement(0);
+        late.completeStartup(0);
+        String first = late.readStatement(0);
         assertTrue(first.contains("id=next,"), first);
     }
 
     @Test
     void attemptWaitingForAConnectionIsNotSentAfterItsClientHasDisconnected() throws IOException {
-        LateHost late = lateHost();
+        ManualHost late = manualHost();
         serve(host("late", late.port(), true));
         Client.Pg disconnected = client();
         disconnected.send(true, "id=gone,c=write,cluster=1", 15_000);
@@ -52,7 +52,7 @@
     /** The connection is established after the request's deadline, and must carry the next request. */
     @Test
     void attemptWaitingForAConnectionIsNotSentAfterItsDeadline() throws IOException {
-        LateHost late = lateHost();
+        ManualHost late = manualHost();
         serve(host("late", late.port(), true));
         Client.Pg client = client();
         client.send(true, "id=over,c=write,cluster=1", 200);
@@ -61,14 +61,14 @@
         assertTrue(answer.startsWith("refused") || answer.equals("failed"), answer);
         client.send(true, "id=next,c=write,cluster=1", 15_000);
         awaitMetric("in_flight", 1);
-        late.greet(0);
-        assertTrue(late.statement(0).contains("id=next,"));
+        late.completeStartup(0);
+        assertTrue(late.readStatement(0).contains("id=next,"));
     }
 
     /** Hundreds of clients disconnect at once while their requests wait for a connection. */
     @Test
     void requestsOfManyClientsThatDisconnectAtOnceAreNotSent() throws IOException {
-        LateHost late = lateHost();
+        ManualHost late = manualHost();
         serve(host("late", late.port(), true));
         List<Client.Pg> burst = new ArrayList<>();
         for (int i = 0; i < 300; i++) {
@@ -100,7 +100,7 @@
         loop.execute(() ->
                 service.onStoreEndpoints(new EndpointList(2, true, List.of(host("p", primary.port(), true)))));
         assertEquals("served stays", connected.answer());
-        assertEquals(List.of("stays"), List.copyOf(primary.seen));
+        assertEquals(List.of("stays"), List.copyOf(primary.requestIds));
     }
 
     /** The client disconnects during the first attempt, which then fails in a way that would allow a retry. */
@@ -110,21 +110,21 @@
         PgHost second = new PgHost("second", false, 5);
         resources.add(first);
         resources.add(second);
-        first.script.put("gone", Act.SILENT);
-        second.script.put("gone", Act.SILENT);
+        first.behaviors.put("gone", HostBehavior.SILENT);
+        second.behaviors.put("gone", HostBehavior.SILENT);
         serve(host("first", first.port(), false), host("second", second.port(), false));
         Client.Pg disconnected = client();
         disconnected.send(false, "id=gone,c=any,cluster=1", 15_000);
-        Program.await(() -> first.seen.size() + second.seen.size() == 1, "the first attempt");
+        Program.await(() -> first.requestIds.size() + second.requestIds.size() == 1, "the first attempt");
         disconnected.close();
         awaitMetric("in_flight", 0);
-        (first.seen.isEmpty() ? second : first).close();
+        (first.requestIds.isEmpty() ? second : first).close();
         Client.Pg next = client();
         assertEquals("served next", next.ask(false, "id=next,c=any,cluster=1", 15_000));
         assertEquals(
                 1,
-                first.seen.stream().filter("gone"::equals).count()
-                        + second.seen.stream().filter("gone"::equals).count());
+                first.requestIds.stream().filter("gone"::equals).count()
+                        + second.requestIds.stream().filter("gone"::equals).count());
     }
 
     /**
@@ -154,7 +154,7 @@
     void pipelinedRequestsAreDroppedWhenTheirClientDisconnects() throws IOException {
         PgHost primary = new PgHost("p", true, 5);
         resources.add(primary);
-        primary.script.put("m0", Act.SILENT);
+        primary.behaviors.put("m0", HostBehavior.SILENT);
         serve(host("p", primary.port(), true));
         Client.Pg disconnected = client();
         StringBuilder pipeline = new StringBuilder();
@@ -164,10 +164,10 @@
                     StandardCharsets.ISO_8859_1));
         }
         disconnected.raw(pipeline.toString().getBytes(StandardCharsets.ISO_8859_1));
-        Program.await(() -> primary.seen.contains("m0"), "the first pipelined request");
+        Program.await(() -> primary.requestIds.contains("m0"), "the first pipelined request");
         disconnected.close();
         awaitMetric("in_flight", 0);
         assertEquals("served next", client().ask(true, "id=next,c=write,cluster=1", 15_000));
-        assertEquals(List.of("m0", "next"), List.copyOf(primary.seen));
+        assertEquals(List.of("m0", "next"), List.copyOf(primary.requestIds));
     }
 }
--- a/src/test/java/mintstair/serve/DrainingEndpointsTest.java
+++ b/src/test/java/mintstair/serve/DrainingEndpointsTest.java
@@ -17,7 +17,7 @@
 import mintstair.standin.Client;
 import mintstair.standin.Discovery;
 import mintstair.standin.PgHost;
-import mintstair.standin.Relay;
+import mintstair.standin.TcpRelay;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -33,14 +33,14 @@
     private static final long UNRESPONSIVE_MILLIS = 6_000;
 
     private Discovery agent;
-    private Relay relay;
+    private TcpRelay relay;
     private int hosts = 120;
 
     @BeforeEach
     void start() throws IOException {
         agent = new Discovery(Discovery.hosts(hosts));
         resources.add(agent);
-        relay = new Relay(agent.port());
+        relay = new TcpRelay(agent.port());
         resources.add(0, relay);
         service = service(100, "automatic", "0.25");
     }
@@ -75,11 +75,11 @@
     /** Starts the service with the initial list and waits until a watch is open. */
     private void startWatch() throws IOException {
         startService();
-        Program.await(() -> agent.asked.size() > 1, "a watch");
+        Program.await(() -> agent.queries.size() > 1, "a watch");
     }
 
     private void drain(String host) {
-        agent.tell(Discovery.hosts(hosts, host + "=DRAINING"));
+        agent.publish(Discovery.hosts(hosts, host + "=DRAINING"));
     }
 
     /** Asserts that the router excludes one host within this time. */
@@ -98,7 +98,7 @@
     @Test
     void watchIsReopenedAtOnceAfterAReset() throws IOException {
         startWatch();
-        relay.cut();
+        relay.closeAll();
         drain("h7");
         assertExcludedWithin(GRACE_MILLIS);
     }
@@ -108,7 +108,7 @@
     void watchOnASharedServiceIsReopenedSoonAfterAReset() throws IOException {
         service = service(100, "subscribe", "0.25");
         startWatch();
-        relay.cut();
+        relay.closeAll();
         drain("h7");
         assertExcludedWithin(UNRESPONSIVE_MILLIS / 2);
     }
@@ -116,7 +116,7 @@
     @Test
     void unresponsiveWatchIsReopenedInTime() throws IOException {
         startWatch();
-        relay.mute();
+        relay.muteOpenConnections();
         drain("h7");
         assertExcludedWithin(UNRESPONSIVE_MILLIS);
     }
@@ -124,7 +124,7 @@
     @Test
     void listIsRequestedAgainAfterAnIncompleteResponse() throws IOException {
         startWatch();
-        relay.tear(3_000);
+        relay.closeAfter(3_000);
         drain("h7");
         assertExcludedWithin(GRACE_MILLIS);
     }
@@ -132,26 +132,26 @@
     @Test
     void updateIsReceivedSoonAfterAnAgentThatRefusedConnectionsListens() throws IOException {
         startWatch();
-        relay.refuse(true);
+        relay.setRefusing(true);
         awaitFailedCalls();
         drain("h7");
-        relay.refuse(false);
+        relay.setRefusing(false);
         assertExcludedWithin(GRACE_MILLIS);
     }
 
     @Test
     void updateMadeDuringAnOutageIsReceivedSoonAfterIt() throws IOException {
         startWatch();
-        relay.silence(true);
-        int calls = agent.asked.size();
+        relay.setSilent(true);
+        int calls = agent.queries.size();
         awaitFailedCalls();
         assertTrue(relay.connections.get() < 20, "no more than a few calls a second: " + relay.connections);
-        assertEquals(calls, agent.asked.size(), "no call reaches the agent");
+        assertEquals(calls, agent.queries.size(), "no call reaches the agent");
         drain("h7");
-        relay.silence(false);
+        relay.setSilent(false);
         assertExcludedWithin(GRACE_MILLIS);
         assertTrue(
-                agent.asked.stream().skip(calls).anyMatch("index=1&wait=1"::equals),
+                agent.queries.stream().skip(calls).anyMatch("index=1&wait=1"::equals),
                 "expected a short poll first, as a long poll would hide another outage");
     }
 
@@ -159,9 +159,9 @@
     @Test
     void snapshotIsRequestedAfterAMalformedDelta() throws IOException {
         startWatch();
-        int before = agent.asked.size();
-        agent.tell("{\"uid\":17}");
-        Program.await(() -> agent.asked.stream().skip(before).anyMatch("null"::equals), "a call for a snapshot");
+        int before = agent.queries.size();
+        agent.publish("{\"uid\":17}");
+        Program.await(() -> agent.queries.stream().skip(before).anyMatch("null"::equals), "a call for a snapshot");
         assertEquals(hosts, metric("db_hosts_known"));
         drain("h7");
         assertExcludedWithin(GRACE_MILLIS);
@@ -171,9 +171,9 @@
     @Test
     void drainingHostIsExcludedIfAnotherEntryOfItsListIsInvalid() throws IOException {
         startWatch();
-        agent.tell(Discovery.hosts(hosts, "h7=DRAINING").replaceFirst("127.0.0.1:1\"", "127.0.0.1:99999\""));
+        agent.publish(Discovery.hosts(hosts, "h7=DRAINING").replaceFirst("127.0.0.1:1\"", "127.0.0.1:99999\""));
         assertExcludedWithin(GRACE_MILLIS);
-        agent.tell(Discovery.hosts(hosts, "h7=DRAINING"));
+        agent.publish(Discovery.hosts(hosts, "h7=DRAINING"));
         Program.await(
                 () -> metric("db_hosts_known") == hosts && metric("db_hosts_excluded") == 1, "the corrected entry");
     }
@@ -182,7 +182,7 @@
     @Test
     void newProcessAppliesAtOnceAnUpdateThatItsConfiguredListLacks() throws IOException {
         drain("h7");
-        relay.tear(3_000);
+        relay.closeAfter(3_000);
         startService();
         assertExcludedWithin(GRACE_MILLIS);
     }
@@ -191,15 +191,15 @@
     @Test
     void removedHostIsForgottenAndKnownAgainWhenListed() throws IOException {
         startWatch();
-        relay.cut();
+        relay.closeAll();
         drain("h7");
         assertExcludedWithin(GRACE_MILLIS);
-        relay.cut();
-        agent.tell(Discovery.hosts(hosts - 1));
+        relay.closeAll();
+        agent.publish(Discovery.hosts(hosts - 1));
         Program.await(
                 () -> metric("db_hosts_known") == hosts - 1 && metric("db_hosts_excluded") == 0,
                 "one host to be removed and the draining one to serve");
-        agent.tell(Discovery.hosts(hosts));
+        agent.publish(Discovery.hosts(hosts));
         Program.await(() -> metric("db_hosts_known") == hosts, "the host that is listed again");
     }
 
@@ -211,17 +211,17 @@
     void previousDiscoveryIsWatchedUntilTheNewOneHasSentAList() throws IOException {
         startWatch();
         try (Discovery newDiscovery = new Discovery(Discovery.hosts(hosts - 1, "h8=DRAINING"));
-                Relay newRelay = new Relay(newDiscovery.port())) {
-            newRelay.refuse(true);
+                TcpRelay newRelay = new TcpRelay(newDiscovery.port())) {
+            newRelay.setRefusing(true);
             loop.execute(() -> service.changeDiscoveryService(address(newRelay.port())));
             awaitFailedCalls();
             drain("h7");
             assertExcludedWithin(GRACE_MILLIS);
-            newRelay.refuse(false);
+            newRelay.setRefusing(false);
             Program.await(() -> metric("db_hosts_known") == hosts - 1, "the new list");
-            agent.tell(Discovery.hosts(hosts));
-            int calls = newDiscovery.asked.size();
-            Program.await(() -> newDiscovery.asked.size() > calls + 1, "the new watch");
+            agent.publish(Discovery.hosts(hosts));
+            int calls = newDiscovery.queries.size();
+            Program.await(() -> newDiscovery.queries.size() > calls + 1, "the new watch");
             assertEquals(hosts - 1, metric("db_hosts_known"), "the previous service is no longer watched");
             assertExcludedWithin(GRACE_MILLIS);
         }
@@ -232,7 +232,7 @@
     void callInFlightDuringAReloadTimesOutByTheNewSettings() throws IOException {
         service = service(100, "subscribe", "0.25");
         startWatch();
-        relay.mute();
+        relay.muteOpenConnections();
         InstanceSettings changed = settings(100, "automatic", "0.25");
         loop.execute(() -> service.applySettings(changed));
         drain("h7");
@@ -243,10 +243,10 @@
     @Test
     void drainingHostIsExcludedAsSoonWithAThousandProxiesAndHosts() throws IOException {
         hosts = 1024;
-        agent.tell(Discovery.hosts(hosts));
+        agent.publish(Discovery.hosts(hosts));
         service = service(1024, "automatic", "0.25");
         startWatch();
-        relay.cut();
+        relay.closeAll();
         drain("h1023");
         assertExcludedWithin(GRACE_MILLIS);
     }
--- a/src/test/java/mintstair/serve/RememberedSessionsTest.java
+++ b/src/test/java/mintstair/serve/RememberedSessionsTest.java
@@ -84,12 +84,12 @@
 
     /** Returns how many reads of the session the replica served. */
     private int readsAtReplica(String session) throws IOException {
-        int seenBefore = replica.seen.size();
+        int seenBefore = replica.requestIds.size();
         for (int i = 0; i < READS; i++) {
             BsonDocument reply = command("{find: 'e'", "session", session);
             assertEquals(1, reply.getNumber("ok").intValue(), reply.toJson());
         }
-        return replica.seen.size() - seenBefore;
+        return replica.requestIds.size() - seenBefore;
     }
 
     private BsonDocument command(String start, String requestClass, String session) throws IOException {
--- a/src/test/java/mintstair/serve/ServiceFixture.java
+++ b/src/test/java/mintstair/serve/ServiceFixture.java
@@ -15,7 +15,7 @@
 import mintstair.proxy.EventLoop;
 import mintstair.request.EndpointList;
 import mintstair.standin.Client;
-import mintstair.standin.LateHost;
+import mintstair.standin.ManualHost;
 import mintstair.stats.MetricsSnapshot;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -114,8 +114,8 @@
         return client;
     }
 
-    final LateHost lateHost() throws IOException {
-        LateHost host = new LateHost();
+    final ManualHost manualHost() throws IOException {
+        ManualHost host = new ManualHost();
         resources.add(host);
         return host;
     }
--- a/src/test/java/mintstair/soak/SoakDeployment.java
+++ b/src/test/java/mintstair/soak/SoakDeployment.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Collectors;
 import mintstair.standin.Discovery;
-import mintstair.standin.Relay;
 import mintstair.standin.StandInHost;
+import mintstair.standin.TcpRelay;
 
 /**
  * Proxies as processes, hosts, discovery and clients of one play, and what can be done to them. Safe for use by
@@ -23,8 +23,8 @@
     final Ledger ledger = new Ledger();
     final SoakOptions options;
     final List<SoakProxy> proxies = new ArrayList<>();
-    final Relay agent;
-    final Relay otherAgent;
+    final TcpRelay agent;
+    final TcpRelay otherAgent;
     /** Until when clients ask, on the ledger's clock. */
     final long until;
 
@@ -46,8 +46,8 @@
             }
         }
         discovery = new Discovery(listed());
-        agent = new Relay(discovery.port());
-        otherAgent = new Relay(discovery.port());
+        agent = new TcpRelay(discovery.port());
+        otherAgent = new TcpRelay(discovery.port());
         for (int i = 0; i < options.proxies(); i++) {
             SoakProxy proxy = new SoakProxy(i, options.proxies(), folder, ledger);
             proxies.add(proxy);
@@ -96,7 +96,7 @@
 
     /** Discovery tells the list as it is now. */
     synchronized void tell() {
-        discovery.tell(listed());
+        discovery.publish(listed());
         long now = Ledger.now();
         for (SoakHost host : hosts) {
             if (host.isListed && host.start().toldAt == Long.MAX_VALUE) {
--- a/src/test/java/mintstair/soak/SoakPlay.java
+++ b/src/test/java/mintstair/soak/SoakPlay.java
@@ -179,10 +179,10 @@
             }
             case HOST_REPLACED -> inGroup(chance, group -> replace(anyOf(group, chance), millis));
             case NEW_PRIMARY -> inGroup(chance, group -> handOver(group, chance));
-            case WATCH_MUTE -> listTrouble(deployment.agent::mute, () -> {}, 0);
-            case WATCH_CUT -> listTrouble(deployment.agent::cut, () -> {}, 0);
+            case WATCH_MUTE -> listTrouble(deployment.agent::muteOpenConnections, () -> {}, 0);
+            case WATCH_CUT -> listTrouble(deployment.agent::closeAll, () -> {}, 0);
             case LIST_SILENT ->
-                listTrouble(() -> deployment.agent.silence(true), () -> deployment.agent.silence(false), millis);
+                listTrouble(() -> deployment.agent.setSilent(true), () -> deployment.agent.setSilent(false), millis);
             case HOST_RESTARTS -> inGroup(chance, group -> restart(anyOf(group, chance), chance, millis));
             case SET_FALLS -> inGroup(chance, group -> letSetFall(group, chance, millis));
             case SET_RESTARTS -> inGroup(chance, group -> restartSet(group, chance, millis));
@@ -213,7 +213,7 @@
             throws InterruptedException {
         proxy.shim.fail(call, faults[chance.nextInt(faults.length)], 300 + chance.nextInt(700));
         Thread.sleep(millis);
-        proxy.shim.heal();
+        proxy.shim.stopFailures();
     }
 
     private SoakProxy anyProxy(Random chance) {
--- a/src/test/java/mintstair/soak/SoakProxy.java
+++ b/src/test/java/mintstair/soak/SoakProxy.java
@@ -218,7 +218,7 @@
 
     @Override
     public void close() throws IOException, InterruptedException {
-        shim.heal();
+        shim.stopFailures();
         end(process);
     }
 }
--- a/src/test/java/mintstair/standin/ConsulServer.java
+++ b/src/test/java/mintstair/standin/ConsulServer.java
@@ -16,11 +16,14 @@
 import javax.net.ssl.SSLContext;
 import mintstair.registry.view.RegistryEntry;
 
-/** A stand-in of Consul's HTTP API: recursive blocking reads, check-and-set, the leader; scripted by its fields. */
+/**
+ * A server with the part of Consul's HTTP API that the registry client uses: recursive blocking reads, check-and-set and
+ * the leader. The test changes its replies by setting its fields.
+ */
 public final class ConsulServer implements AutoCloseable {
     public final AtomicInteger reads = new AtomicInteger();
     public volatile boolean noLeader;
-    /** What the next reads are answered with in place of the list; 0 for the list. */
+    /** The status with which reads are answered instead of with the list; 0 for the list. */
     public volatile int status;
 
     public volatile String token;
@@ -70,7 +73,7 @@
         } else if (noLeader) {
             answer(exchange, 500, "No cluster leader");
         } else if (status != 0) {
-            answer(exchange, status, "as scripted");
+            answer(exchange, status, "requested by the test");
         } else if (exchange.getRequestMethod().equals("GET")) {
             reads.incrementAndGet();
             read(exchange, key, query);
--- a/src/test/java/mintstair/standin/Discovery.java
+++ b/src/test/java/mintstair/standin/Discovery.java
@@ -14,11 +14,13 @@
 import java.util.stream.Stream;
 
 /**
- * Discovery: the whole list, in arbitrary pieces, and a watch that waits for a newer one for as long as it is asked
- * to.
+ * The discovery service. It sends the whole list in chunks of random length, and holds a watch until there is a newer
+ * list or the wait that the client asked for is over.
  */
 public final class Discovery implements AutoCloseable {
-    public final CopyOnWriteArrayList<String> asked = new CopyOnWriteArrayList<>();
+    /** The query strings of all calls; "null" for a call without one. */
+    public final CopyOnWriteArrayList<String> queries = new CopyOnWriteArrayList<>();
+
     private final HttpServer server;
     private int revision = 1;
     private String list;
@@ -33,7 +35,7 @@
         }));
         server.createContext("/registry/instances", exchange -> {
             String query = exchange.getRequestURI().getQuery();
-            asked.add(String.valueOf(query));
+            queries.add(String.valueOf(query));
             byte[] body = (query == null
                             ? answer(-1, 0)
                             : answer(
@@ -54,15 +56,18 @@
     }
 
     /**
-     * So many hosts that nobody is behind, h0 and on in groups of three, indented; of some their states, as in
-     * h7=DRAINING.
+     * Returns list entries of hosts that accept no connections, named from h0 on, in groups of three. The text is
+     * indented.
+     *
+     * @param states the states of those hosts that are not serving, such as h7=DRAINING
      */
     public static String hosts(int count, String... states) {
-        Map<String, String> told =
+        Map<String, String> stateByHost =
                 Stream.of(states).map(s -> s.split("=")).collect(Collectors.toMap(s -> s[0], s -> s[1]));
         return IntStream.range(0, count)
                 .mapToObj(i -> ("{#\"uid\":\"h" + i + "\",#\"endpoint\":\"127.0.0.1:1\",#\"az\":\"a\",#\"model\":\"m\","
-                                + "#\"pod_group\":" + i / 3 + ",#\"state\":\"" + told.getOrDefault("h" + i, "SERVING")
+                                + "#\"pod_group\":" + i / 3 + ",#\"state\":\""
+                                + stateByHost.getOrDefault("h" + i, "SERVING")
                                 + "\",#\"capacity_hint\":1.0,#\"boot_ms\":0,"
                                 + "#\"rank\":\"" + (i % 3 == 0 ? "source" : "copy") + "\"}")
                         .replace("#", "\n    "))
@@ -73,8 +78,8 @@
         return server.getAddress().getPort();
     }
 
-    /** Tells all watches of a new list, or of whatever else this text is. */
-    public synchronized void tell(String targets) {
+    /** Publishes a new list to all watches; the text need not be a valid list. */
+    public synchronized void publish(String targets) {
         list = targets;
         revision++;
         notifyAll();
--- a/src/test/java/mintstair/standin/FaultRelay.java
+++ b/src/test/java/mintstair/standin/FaultRelay.java
@@ -15,12 +15,12 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A network between processes that know each other, one link for each pair and direction, that fails as it is told.
- * Process i listens at 127.0.1.i+1 and binds what it sends to that, by which the relay knows it; the others reach it
- * at 127.0.2.i+1, the same port.
+ * A network between processes, with one link for each pair and direction, which the test can cut or delay. Process i
+ * listens at 127.0.1.i+1 and sends from that address, by which the relay recognizes it; the other processes send to
+ * 127.0.2.i+1 and the same port.
  */
 public final class FaultRelay implements AutoCloseable {
-    /** What a link does: cut (nothing passes, connections hang), or passes after a delay. */
+    /** The state of a link: it is cut, so that connections hang, or it forwards after a delay. */
     public record Link(boolean cut, long delayMillis) {
         public static final Link GOOD = new Link(false, 0);
         public static final Link CUT = new Link(true, 0);
@@ -28,7 +28,7 @@
 
     private final Link[][] links;
     private final List<AutoCloseable> open = new ArrayList<>();
-    private final ScheduledExecutorService later = Executors.newSingleThreadScheduledExecutor(task -> {
+    private final ScheduledExecutorService delayed = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread thread = new Thread(task, "relay");
         thread.setDaemon(true);
         return thread;
@@ -47,7 +47,7 @@
             ServerSocket server = new ServerSocket(ports[i], 100, address(2, i));
             open.add(datagrams);
             open.add(server);
-            StandInHost.daemon(() -> carry(datagrams, to));
+            StandInHost.daemon(() -> forwardDatagrams(datagrams, to));
             StandInHost.daemon(() -> accept(server, to));
         }
     }
@@ -56,31 +56,32 @@
         return InetAddress.getByAddress(new byte[] {127, 0, (byte) side, (byte) (process + 1)});
     }
 
-    /** Where process i listens itself. */
-    public String listen(int i) {
+    /** Returns the address at which process i listens. */
+    public String listenAddress(int i) {
         return "127.0.1." + (i + 1) + ":" + ports[i];
     }
 
-    /** Where the others reach it. */
-    public String advertise(int i) {
+    /** Returns the address at which the other processes reach process i. */
+    public String advertisedAddress(int i) {
         return "127.0.2." + (i + 1) + ":" + ports[i];
     }
 
-    public synchronized void link(int from, int to, Link link) {
+    /** Sets the link of one direction. */
+    public synchronized void setLink(int from, int to, Link link) {
         links[from][to] = link;
     }
 
-    /** Both directions. */
-    public void between(int a, int b, Link link) {
-        link(a, b, link);
-        link(b, a, link);
+    /** Sets the links of both directions. */
+    public void setLinks(int a, int b, Link link) {
+        setLink(a, b, link);
+        setLink(b, a, link);
     }
 
-    /** All between the first so many and the rest. */
+    /** Sets all links between the first {@code first} processes and the rest. */
     public void partition(int first, Link link) {
         for (int a = 0; a < first; a++) {
             for (int b = first; b < links.length; b++) {
-                between(a, b, link);
+                setLinks(a, b, link);
             }
         }
     }
@@ -94,7 +95,7 @@
         return links[to][(from.getAddress()[3] & 0xff) - 1];
     }
 
-    private void carry(DatagramSocket in, int to) {
+    private void forwardDatagrams(DatagramSocket in, int to) {
         byte[] bytes = new byte[2048];
         while (!in.isClosed()) {
             try {
@@ -102,14 +103,14 @@
                 in.receive(packet);
                 Link link = link(packet.getAddress(), to);
                 if (!link.cut) {
-                    DatagramPacket on = new DatagramPacket(
+                    DatagramPacket forwarded = new DatagramPacket(
                             Arrays.copyOf(bytes, packet.getLength()),
                             packet.getLength(),
                             new InetSocketAddress(address(1, to), ports[to]));
-                    later.schedule(() -> send(on), link.delayMillis, TimeUnit.MILLISECONDS);
+                    delayed.schedule(() -> send(forwarded), link.delayMillis, TimeUnit.MILLISECONDS);
                 }
             } catch (IOException e) {
-                // Closed, or the process behind is gone.
+                // The socket is closed, or the process has ended.
             }
         }
     }
@@ -118,7 +119,7 @@
         try {
             out.send(packet);
         } catch (IOException e) {
-            // Lost, as datagrams are.
+            // The datagram is lost, as may happen on any network.
         }
     }
 
@@ -126,15 +127,15 @@
         while (!server.isClosed()) {
             try {
                 Socket caller = server.accept();
-                StandInHost.daemon(() -> pass(caller, to));
+                StandInHost.daemon(() -> forwardConnection(caller, to));
             } catch (IOException e) {
-                // Closed.
+                // The listener is closed.
             }
         }
     }
 
-    /** What the process says goes to the caller; one that is gone is told by closing, a cut link by nothing at all. */
-    private void pass(Socket caller, int to) {
+    /** Forwards the bytes of the process to the caller; a process that has ended shows as the end of the connection. */
+    private void forwardConnection(Socket caller, int to) {
         Link link = link(caller.getInetAddress(), to);
         try (caller;
                 Socket behind = new Socket()) {
@@ -145,11 +146,11 @@
             }
             behind.connect(new InetSocketAddress(address(1, to), ports[to]), 2_000);
             behind.setSoTimeout(10_000);
-            byte[] said = behind.getInputStream().readAllBytes();
+            byte[] reply = behind.getInputStream().readAllBytes();
             Thread.sleep(2 * link.delayMillis);
-            caller.getOutputStream().write(said);
+            caller.getOutputStream().write(reply);
         } catch (IOException e) {
-            // The caller sees its end.
+            // The caller sees the end of the connection.
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -157,7 +158,7 @@
 
     @Override
     public void close() throws Exception {
-        later.shutdownNow();
+        delayed.shutdownNow();
         out.close();
         for (AutoCloseable each : open) {
             each.close();
--- a/src/test/java/mintstair/standin/FaultShim.java
+++ b/src/test/java/mintstair/standin/FaultShim.java
@@ -13,11 +13,12 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Shifts the wall clock of one process and has its system calls fail, by the library of src/test/c/fault_shim.c that
- * the process preloads. Changes count at once. Safe for use by several threads.
+ * Shifts the wall clock of one process and makes its system calls fail. The process preloads the library of
+ * src/test/c/fault_shim.c, which reads its instructions from a file that both map, so changes take effect at once. Safe
+ * for use by several threads.
  */
 public final class FaultShim {
-    /** A system call that can fail; in the library's order. */
+    /** A system call that can fail, in the order of the library. */
     public enum Call {
         ACCEPT,
         SOCKET,
@@ -29,7 +30,7 @@
         SYNC
     }
 
-    /** Errors by their Linux numbers; with the last one a read or write takes one byte. */
+    /** An error with its Linux number; ONE_BYTE shortens a read or write to one byte instead. */
     public enum Fault {
         EINTR(4),
         EIO(5),
@@ -67,8 +68,8 @@
     private final MappedByteBuffer control;
 
     /**
-     * Compiles the library at the first use in this process; throws where there is no compiler, as nothing can be
-     * tested then.
+     * Compiles the library at the first use in this process; throws if there is no compiler, so that no test passes
+     * without it.
      */
     public FaultShim() throws IOException {
         compile();
@@ -105,34 +106,34 @@
         library = made;
     }
 
-    /** What the environment of the process must hold. */
+    /** Returns the environment variables with which the process must be started. */
     public Map<String, String> environment() {
         return Map.of("LD_PRELOAD", library.toString(), "FAULT_SHIM_CONTROL", controlFile.toString());
     }
 
-    /** From now on the process's wall clock is ahead of the system's by this, or behind where it is negative. */
+    /** Sets the difference of the wall clock of the process to that of the system; positive if it is ahead. */
     public void shiftWallClock(Duration by) {
         put(CLOCK_OFFSET_FIELD, by.toNanos());
     }
 
-    /** From now on so many of a thousand such calls fail with this error. */
+    /** Makes this number of a thousand calls fail with this error from now on. */
     public void fail(Call call, Fault fault, int perThousand) {
         put(field(call, PER_THOUSAND), perThousand);
         put(field(call, ERROR), fault.number);
     }
 
-    /** From now on no call fails. */
-    public void heal() {
+    /** Makes no call fail from now on. */
+    public void stopFailures() {
         List.of(Call.values()).forEach(call -> put(field(call, ERROR), 0));
     }
 
-    /** How often the process made this call. */
-    public long made(Call call) {
+    /** Returns how often the process has made this call. */
+    public long callCount(Call call) {
         return get(field(call, MADE));
     }
 
-    /** How many of these calls failed. */
-    public long failed(Call call) {
+    /** Returns how many of these calls failed. */
+    public long failureCount(Call call) {
         return get(field(call, FAILED));
     }
 
--- a/src/test/java/mintstair/standin/LateHost.java
+++ b/src/test/java/mintstair/standin/ManualHost.java
@@ -10,13 +10,13 @@
 import java.util.List;
 import mintstair.wire.PgWriter;
 
-/** A db host of PostgreSQL's protocol that does each step when the test says so. */
-public final class LateHost implements AutoCloseable {
+/** A database host with the PostgreSQL protocol that takes each step when the test calls the method for it. */
+public final class ManualHost implements AutoCloseable {
     private final ServerSocket server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
-    private final List<DataInputStream> ins = new ArrayList<>();
+    private final List<DataInputStream> inputs = new ArrayList<>();
     private final List<Socket> sockets = new ArrayList<>();
 
-    public LateHost() throws IOException {
+    public ManualHost() throws IOException {
         server.setSoTimeout(20_000);
     }
 
@@ -24,53 +24,53 @@
         return server.getLocalPort();
     }
 
-    /** Takes one connection and says nothing on it. */
+    /** Accepts one connection and sends nothing on it. */
     public void accept() throws IOException {
         Socket socket = server.accept();
         socket.setSoTimeout(20_000);
         socket.setTcpNoDelay(true);
         sockets.add(socket);
-        ins.add(new DataInputStream(socket.getInputStream()));
+        inputs.add(new DataInputStream(socket.getInputStream()));
     }
 
-    /** Greets on the n-th. */
-    public void greet(int n) throws IOException {
-        hear(n);
-        welcome(n);
+    /** Reads the startup message of connection n, counted from 0, and replies to it. */
+    public void completeStartup(int n) throws IOException {
+        readStartup(n);
+        answerStartup(n);
     }
 
-    /** Waits for the greeting of the other side on the n-th. */
-    public void hear(int n) throws IOException {
-        ins.get(n).readNBytes(ins.get(n).readInt() - 4);
+    /** Reads the startup message of connection n. */
+    public void readStartup(int n) throws IOException {
+        inputs.get(n).readNBytes(inputs.get(n).readInt() - 4);
     }
 
-    /** Answers that greeting. */
-    public void welcome(int n) throws IOException {
-        say(n, new PgWriter().message('R', 0).ready().bytes());
+    /** Replies to the startup message of connection n. */
+    public void answerStartup(int n) throws IOException {
+        send(n, new PgWriter().message('R', 0).ready().bytes());
     }
 
-    /** The next statement that comes on the n-th. */
-    public String statement(int n) throws IOException {
-        ins.get(n).readByte();
-        byte[] text = ins.get(n).readNBytes(ins.get(n).readInt() - 4);
+    /** Reads the next statement on connection n. */
+    public String readStatement(int n) throws IOException {
+        inputs.get(n).readByte();
+        byte[] text = inputs.get(n).readNBytes(inputs.get(n).readInt() - 4);
         return new String(text, StandardCharsets.UTF_8);
     }
 
-    /** Says these bytes on the n-th, whatever they are. */
-    public void say(int n, byte[] bytes) throws IOException {
+    /** Sends these bytes on connection n. */
+    public void send(int n, byte[] bytes) throws IOException {
         sockets.get(n).getOutputStream().write(bytes);
     }
 
-    /** Ends the n-th; with {@code reset} by a reset, else by an orderly end. */
-    public void end(int n, boolean reset) throws IOException {
+    /** Closes connection n, with a reset or in order. */
+    public void closeConnection(int n, boolean reset) throws IOException {
         if (reset) {
             sockets.get(n).setSoLinger(true, 0);
         }
         sockets.get(n).close();
     }
 
-    /** An answer with this value, from a primary. */
-    public static byte[] answer(String value) {
+    /** Returns the reply of a primary with this value. */
+    public static byte[] reply(String value) {
         byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
         return new PgWriter()
                 .message('T', '\0', '\1', "payload", 0, '\0', '\0', 17, '\0', '\4', -1, '\0', '\1')
--- a/src/test/java/mintstair/standin/MongoHost.java
+++ b/src/test/java/mintstair/standin/MongoHost.java
@@ -20,7 +20,7 @@
 import org.bson.BsonString;
 import org.bson.BsonTimestamp;
 
-/** A db host that speaks MongoDB's protocol; a find whose id begins with "cursor" leaves a cursor open. */
+/** A database host that speaks the MongoDB protocol; a find whose id begins with "cursor" leaves a cursor open. */
 public final class MongoHost extends StandInHost {
     public final Set<Long> cursors = Collections.synchronizedSet(new HashSet<>());
     public final List<BsonDocument> commands = Collections.synchronizedList(new ArrayList<>());
@@ -38,15 +38,15 @@
 
     @Override
     protected void serve(DataInputStream in, OutputStream out) throws IOException {
-        for (MongoMessage m = read(in); m != null; m = read(in)) {
-            BsonDocument c = m.body();
-            BsonDocument reply = reply(c);
+        for (MongoMessage request = read(in); request != null; request = read(in)) {
+            BsonDocument command = request.body();
+            BsonDocument reply = reply(command);
             if (reply == null) {
                 return;
             }
             if (!reply.isEmpty()) {
-                report(reply, c.containsKey("hello"));
-                out.write(MongoMessage.opMsg(reply, m.requestId()));
+                report(reply, command.containsKey("hello"));
+                out.write(MongoMessage.opMsg(reply, request.requestId()));
             }
         }
     }
@@ -64,7 +64,7 @@
         }
     }
 
-    /** Reads one message, or null at the end. */
+    /** Reads one message; returns null at the end of the stream. */
     static MongoMessage read(DataInputStream in) throws IOException {
         byte[] head = in.readNBytes(4);
         if (head.length < 4) {
@@ -85,9 +85,10 @@
             c.getArray("cursors").forEach(id -> cursors.remove(id.asInt64().getValue()));
             return ok;
         }
-        String id =
-                byKey ? "value of " + c.getString("comment").getValue().replaceAll(".*session=([^,]*).*", "$1") : id(c);
-        switch (act(id)) {
+        String id = repliesWithKey
+                ? "value of " + c.getString("comment").getValue().replaceAll(".*session=([^,]*).*", "$1")
+                : id(c);
+        switch (requestReceived(id)) {
             case BREAK:
                 return null;
             case SILENT:
@@ -127,6 +128,6 @@
     private static BsonDocument error(int code) {
         return new BsonDocument("ok", new BsonInt32(0))
                 .append("code", new BsonInt32(code))
-                .append("errmsg", new BsonString("as the script says"));
+                .append("errmsg", new BsonString("requested by the test"));
     }
 }
--- a/src/test/java/mintstair/standin/PgHost.java
+++ b/src/test/java/mintstair/standin/PgHost.java
@@ -9,17 +9,17 @@
 import java.util.regex.Pattern;
 import mintstair.wire.PgWriter;
 
-/** A db host that speaks PostgreSQL's protocol. */
+/** A database host that speaks the PostgreSQL protocol. */
 public final class PgHost extends StandInHost {
     private static final Pattern ID = Pattern.compile("id=([^,]*),");
 
-    /** Lets the bytes behind an answer go that TRAILED asks for. */
-    public final Semaphore trail = new Semaphore(0);
-    /** Tells that bytes behind an answer have gone out. */
-    public final Semaphore trailed = new Semaphore(0);
+    /** Released by the test to let the host send the extra reply of TRAILED, or end the connection of LONG_TORN. */
+    public final Semaphore trailingAllowed = new Semaphore(0);
+    /** Released by the host when it has sent the extra reply of TRAILED. */
+    public final Semaphore trailingSent = new Semaphore(0);
 
-    /** Of a long value; a torn one ends in its middle when this lets it go. */
-    public static final int LONG = 4 * 1024 * 1024;
+    /** The length of the value of LONG; LONG_TORN sends half of it. */
+    public static final int LONG_VALUE_LENGTH = 4 * 1024 * 1024;
 
     public PgHost(String name, boolean primary, long positionMillis) throws IOException {
         super(name, primary, positionMillis);
@@ -34,58 +34,58 @@
             String text = new String(query, 0, query.length - 1, StandardCharsets.UTF_8);
             Matcher id = ID.matcher(text);
             if (text.equals("SHOW vitals")) {
-                String vitals = script.get("vitals") == Act.NOISE
+                String vitals = behaviors.get("vitals") == HostBehavior.NOISE
                         ? "inflight=%%%,x0=nan,x1=q"
                         : "inflight=0,util=0.1,x0=" + positionMillis / 1e3 + ",x1=" + (primary ? 1 : 0);
                 out.write(row(vitals).ready().bytes());
                 continue;
             }
-            Act act = id.find() ? act(id.group(1)) : Act.SERVE;
-            if (act == Act.BREAK) {
+            HostBehavior behavior = id.find() ? requestReceived(id.group(1)) : HostBehavior.SERVE;
+            if (behavior == HostBehavior.BREAK) {
                 return;
             }
-            if (act == Act.SILENT) {
+            if (behavior == HostBehavior.SILENT) {
                 continue;
             }
-            if (act == Act.NOISE || act == Act.HUGE) {
-                // The connection stays open, and is of no further use.
+            if (behavior == HostBehavior.NOISE || behavior == HostBehavior.HUGE) {
+                // The connection stays open, but the proxy cannot use it any more.
                 out.write(
-                        act == Act.NOISE
+                        behavior == HostBehavior.NOISE
                                 ? "q\0?%%%".repeat(9).getBytes(StandardCharsets.UTF_8)
                                 : new byte[] {'D', -1, -1, -1, -16, 0, 1, -1, -1, -1, 0, 7, 7, 7});
                 continue;
             }
-            if (act == Act.LONG_TORN) {
-                out.write(row("l".repeat(LONG)).bytes(), 0, LONG / 2);
-                trail.acquireUninterruptibly();
+            if (behavior == HostBehavior.LONG_TORN) {
+                out.write(row("l".repeat(LONG_VALUE_LENGTH)).bytes(), 0, LONG_VALUE_LENGTH / 2);
+                trailingAllowed.acquireUninterruptibly();
                 return;
             }
-            PgWriter words = switch (act) {
+            PgWriter reply = switch (behavior) {
                 case TORN -> row(id.group(1)).message('D', '\0', '\1', 99, "short");
                 case MISS -> error("25006");
                 case ERROR -> error("XX000");
-                case LONG -> row("l".repeat(LONG));
+                case LONG -> row("l".repeat(LONG_VALUE_LENGTH));
                 case FULL -> error("53300");
-                default -> row(byKey ? "value of " + text.split("'")[1] : id.group(1));
+                default -> row(repliesWithKey ? "value of " + text.split("'")[1] : id.group(1));
             };
-            byte[] answer = words.message('S', "rank", primary ? "source" : "copy")
+            byte[] message = reply.message('S', "rank", primary ? "source" : "copy")
                     .message('S', "as_of", Long.toString(positionMillis))
                     .ready()
                     .bytes();
-            out.write(answer);
-            if (act == Act.TWICE) {
-                out.write(answer);
+            out.write(message);
+            if (behavior == HostBehavior.TWICE) {
+                out.write(message);
             }
-            if (act == Act.TRAILED) {
-                trail.acquireUninterruptibly();
-                out.write(answer);
-                trailed.release();
+            if (behavior == HostBehavior.TRAILED) {
+                trailingAllowed.acquireUninterruptibly();
+                out.write(message);
+                trailingSent.release();
             }
         }
     }
 
     private static PgWriter error(String code) {
-        return new PgWriter().error("ERROR", code, "as the script says", null);
+        return new PgWriter().error("ERROR", code, "requested by the test", null);
     }
 
     private static PgWriter row(String value) {
--- a/src/test/java/mintstair/standin/RegistryModel.java
+++ b/src/test/java/mintstair/standin/RegistryModel.java
@@ -9,22 +9,22 @@
 import mintstair.registry.view.RegistryEntry;
 
 /**
- * A key-value registry's history, as its API describes it: one revision a transaction, compaction, another history
- * after a restore.
+ * The contents and history of a key-value registry: each transaction creates a revision, old revisions can be
+ * compacted, and a restore replaces the history.
  */
 public final class RegistryModel {
     public long cluster = 0xC1;
     public long term = 1_000;
     public long revision = 1;
     public long compacted;
-    /** The changes of each revision from the first on, the compacted ones too: they are only not given out any more. */
+    /** The changes of each revision, from 0; those of compacted revisions are kept, but not returned to clients. */
     private List<List<EntryChange>> history = new ArrayList<>(List.of(List.of(), List.of()));
 
     private TreeMap<String, RegistryEntry> now = new TreeMap<>();
     private long cachedAt = -1;
     private TreeMap<String, RegistryEntry> cached;
 
-    /** Its history as it is now, for one who remembers it after a restore. */
+    /** Returns a copy of the current contents and history. */
     public synchronized RegistryModel copy() {
         RegistryModel copy = new RegistryModel();
         copy.history = new ArrayList<>(history);
@@ -33,7 +33,7 @@
         return copy;
     }
 
-    /** One transaction; a null value deletes. */
+    /** Applies one transaction and returns the revision after it; a null value deletes the key. */
     public synchronized long change(Map<String, String> values) {
         long at = revision + 1;
         List<EntryChange> changes = new ArrayList<>();
@@ -71,7 +71,7 @@
         compacted = Math.max(compacted, Math.min(at, revision));
     }
 
-    /** Goes back to what it was at that revision, as a registry restored from a backup does. */
+    /** Replaces the contents by those of an earlier revision, as a restore from a backup does. */
     public synchronized void restore(long at, long newCluster) {
         now = new TreeMap<>(at(at));
         history = new ArrayList<>(history.subList(0, (int) at + 1));
@@ -87,7 +87,7 @@
         return new TreeMap<>(now);
     }
 
-    /** What there was at a revision. */
+    /** Returns the contents at a revision. */
     public synchronized TreeMap<String, RegistryEntry> at(long at) {
         if (at == revision) {
             return now;
@@ -108,7 +108,7 @@
         return cached;
     }
 
-    /** The changes of one revision. */
+    /** Returns the changes of one revision. */
     public synchronized List<EntryChange> changes(long at) {
         return history.get((int) at);
     }
--- a/src/test/java/mintstair/standin/Keys.java
+++ b/src/test/java/mintstair/standin/SelfSignedCertificate.java
@@ -11,13 +11,14 @@
 import java.util.Base64;
 import java.util.concurrent.TimeUnit;
 
-/** A certificate that vouches for itself, and its key, as PEM files; made with the JDK's own tool. */
-public final class Keys {
+/** A self-signed certificate and its private key as PEM files, created with keytool. */
+public final class SelfSignedCertificate {
     private static final char[] PASSWORD = "password".toCharArray();
     public final Path certificate;
     public final Path key;
 
-    public Keys(Path folder, String name) throws IOException, GeneralSecurityException, InterruptedException {
+    public SelfSignedCertificate(Path folder, String name)
+            throws IOException, GeneralSecurityException, InterruptedException {
         Path store = folder.resolve(name + ".p12");
         Process made = new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "keytool")
--- a/src/test/java/mintstair/standin/StandInHost.java
+++ b/src/test/java/mintstair/standin/StandInHost.java
@@ -16,10 +16,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
-/** A db host of either protocol: it answers at once, or as its script says for a request's id. */
+/**
+ * A database host of either protocol. It serves each request at once, unless the test has set another behavior for the
+ * id of the request.
+ */
 public abstract class StandInHost implements AutoCloseable {
-    /** What a host does with a request. */
-    public enum Act {
+    /** What a host does with a request; SERVE is the default. */
+    public enum HostBehavior {
         SERVE,
         MISS,
         ERROR,
@@ -36,16 +39,19 @@
     }
 
     public final String name;
-    public final List<String> seen = Collections.synchronizedList(new ArrayList<>());
-    public final Map<String, Act> script = new ConcurrentHashMap<>();
+    /** The ids of the received requests, in the order of their arrival. */
+    public final List<String> requestIds = Collections.synchronizedList(new ArrayList<>());
+    /** The behaviors that differ from the default, by the id of the request. */
+    public final Map<String, HostBehavior> behaviors = new ConcurrentHashMap<>();
+
     public volatile boolean primary;
     public volatile long positionMillis;
-    /** Whether a value is that of its key, the same each time, in place of the request's id. */
-    public volatile boolean byKey;
-    /** What sees each request first, in the order of arrival at all hosts that share it. */
-    public Consumer<String> witness = line -> {};
+    /** Whether the value of a reply depends on the key alone; otherwise it is the id of the request. */
+    public volatile boolean repliesWithKey;
+    /** Called with the id and the host of each request on its arrival; may be shared by several hosts. */
+    public Consumer<String> observer = line -> {};
 
-    private final AtomicInteger open = new AtomicInteger();
+    private final AtomicInteger openConnections = new AtomicInteger();
     private final ServerSocket server;
     private final Set<Socket> sockets = Collections.synchronizedSet(new HashSet<>());
 
@@ -57,27 +63,27 @@
         daemon(this::accept);
     }
 
-    /** How many connections to it are open. */
+    /** Returns the number of open connections to this host. */
     public final int open() {
-        return open.get();
+        return openConnections.get();
     }
 
     public final int port() {
         return server.getLocalPort();
     }
 
-    /** This host as discovery lists it. */
+    /** Returns the entry of this host in the list that discovery publishes. */
     public final String listed(String state) {
         return "{\"uid\":\"" + name + "\",\"endpoint\":\"127.0.0.1:" + port() + "\",\"az\":\"a\",\"model\":\"m\","
                 + "\"pod_group\":1,\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":0,\"rank\":\""
                 + (primary ? "source" : "copy") + "\"}";
     }
 
-    /** Notes a request and says what to do with it; {@code SILENT} ones are never answered. */
-    protected final Act act(String id) {
-        seen.add(id);
-        witness.accept(id + " at " + name);
-        return script.getOrDefault(id, Act.SERVE);
+    /** Records a request and returns what to do with it. */
+    protected final HostBehavior requestReceived(String id) {
+        requestIds.add(id);
+        observer.accept(id + " at " + name);
+        return behaviors.getOrDefault(id, HostBehavior.SERVE);
     }
 
     protected abstract void serve(DataInputStream in, OutputStream out) throws IOException;
@@ -89,13 +95,13 @@
                 socket.setTcpNoDelay(true);
                 sockets.add(socket);
                 daemon(() -> {
-                    open.incrementAndGet();
+                    openConnections.incrementAndGet();
                     try (socket) {
                         serve(new DataInputStream(socket.getInputStream()), socket.getOutputStream());
                     } catch (IOException e) {
-                        // The proxy went away, or the script ended the connection.
+                        // The proxy has closed the connection, or the behavior was to break it.
                     } finally {
-                        open.decrementAndGet();
+                        openConnections.decrementAndGet();
                     }
                 });
             } catch (IOException e) {
--- a/src/test/java/mintstair/standin/Relay.java
+++ b/src/test/java/mintstair/standin/TcpRelay.java
@@ -11,20 +11,25 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** A network path to a server that breaks as it is told: cut, silent, refused, torn in the middle of a message. */
-public final class Relay implements AutoCloseable {
-    public final AtomicLong toClients = new AtomicLong();
+/** Forwards TCP connections to a server on this machine; the test can make the network fail in several ways. */
+public final class TcpRelay implements AutoCloseable {
+    /** The bytes that were forwarded to clients. */
+    public final AtomicLong bytesToClients = new AtomicLong();
+    /** The connections that were accepted. */
     public final AtomicLong connections = new AtomicLong();
+
     private final int port;
     private final int target;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
-    private final Set<Socket> mute = ConcurrentHashMap.newKeySet();
+    /** The sockets whose input is discarded. */
+    private final Set<Socket> muted = ConcurrentHashMap.newKeySet();
+
     private volatile ServerSocket server;
     private volatile boolean silent;
-    /** How many bytes still go to clients before all connections are cut; negative for no bound. */
-    private volatile long tearAfter = -1;
+    /** The bytes that are still forwarded to clients before all connections are closed; negative for no limit. */
+    private volatile long bytesUntilClose = -1;
 
-    public Relay(int target) throws IOException {
+    public TcpRelay(int target) throws IOException {
         this.target = target;
         server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
         port = server.getLocalPort();
@@ -35,37 +40,37 @@
         return port;
     }
 
-    /** Resets all connections. */
-    public void cut() {
+    /** Closes all connections. */
+    public void closeAll() {
         for (Socket socket : sockets) {
             close(socket);
         }
         sockets.clear();
     }
 
-    /** Cuts all connections once this many more bytes went to clients. */
-    public void tear(long bytes) {
-        tearAfter = bytes;
+    /** Closes all connections once this many more bytes have been forwarded to clients. */
+    public void closeAfter(long bytes) {
+        bytesUntilClose = bytes;
     }
 
-    /** Connections stay open and new ones come up, but nothing passes; after it, those of the silence are cut. */
-    public void silence(boolean on) {
+    /** Discards all bytes of open and new connections; closes all connections when that ends. */
+    public void setSilent(boolean on) {
         silent = on;
         if (!on) {
-            cut();
+            closeAll();
         }
     }
 
-    /** What is open says nothing more and stays open; new connections are as good as ever. */
-    public void mute() {
-        mute.addAll(sockets);
+    /** Discards all bytes of the connections that are open now, which stay open; new ones are not affected. */
+    public void muteOpenConnections() {
+        muted.addAll(sockets);
     }
 
-    /** Refuses new connections, and cuts those that there are; or takes them again. */
-    public synchronized void refuse(boolean on) throws IOException {
+    /** Closes all connections and refuses new ones, or accepts connections again. */
+    public synchronized void setRefusing(boolean on) throws IOException {
         if (on) {
             server.close();
-            cut();
+            closeAll();
         } else if (server.isClosed()) {
             ServerSocket again = new ServerSocket();
             again.setReuseAddress(true);
@@ -75,48 +80,48 @@
         }
     }
 
-    private void accept(ServerSocket on) {
-        while (!on.isClosed()) {
+    private void accept(ServerSocket listener) {
+        while (!listener.isClosed()) {
             try {
-                Socket client = on.accept();
+                Socket client = listener.accept();
                 connections.incrementAndGet();
-                Socket behind = new Socket(InetAddress.getByName("127.0.0.1"), target);
+                Socket upstream = new Socket(InetAddress.getByName("127.0.0.1"), target);
                 client.setTcpNoDelay(true);
-                behind.setTcpNoDelay(true);
+                upstream.setTcpNoDelay(true);
                 sockets.add(client);
-                sockets.add(behind);
-                StandInHost.daemon(() -> pass(client, behind, false));
-                StandInHost.daemon(() -> pass(behind, client, true));
+                sockets.add(upstream);
+                StandInHost.daemon(() -> forward(client, upstream, false));
+                StandInHost.daemon(() -> forward(upstream, client, true));
             } catch (IOException e) {
-                // The listener is closed, or there is no server.
+                // The listener is closed, or the server is not reachable.
             }
         }
     }
 
-    private void pass(Socket from, Socket to, boolean toClient) {
+    private void forward(Socket from, Socket to, boolean toClient) {
         byte[] bytes = new byte[16 * 1024];
         try {
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             for (int n = in.read(bytes); n >= 0; n = in.read(bytes)) {
-                if (silent || mute.contains(from)) {
+                if (silent || muted.contains(from)) {
                     continue;
                 }
                 if (toClient) {
-                    long left = tearAfter;
+                    long left = bytesUntilClose;
                     if (left >= 0 && n >= left) {
                         out.write(bytes, 0, (int) left);
-                        tearAfter = -1;
-                        cut();
+                        bytesUntilClose = -1;
+                        closeAll();
                         return;
                     }
-                    tearAfter = left < 0 ? -1 : left - n;
-                    toClients.addAndGet(n);
+                    bytesUntilClose = left < 0 ? -1 : left - n;
+                    bytesToClients.addAndGet(n);
                 }
                 out.write(bytes, 0, n);
             }
         } catch (IOException e) {
-            // One side is gone: the other follows.
+            // One side has closed the connection; the other side is closed below.
         }
         close(from);
         close(to);
@@ -128,13 +133,13 @@
         try {
             socket.close();
         } catch (IOException e) {
-            // It is closed all the same.
+            // The socket is closed regardless.
         }
     }
 
     @Override
     public void close() throws IOException {
         server.close();
-        cut();
+        closeAll();
     }
 }
--- a/src/test/java/mintstair/traffic/ReplayerTest.java
+++ b/src/test/java/mintstair/traffic/ReplayerTest.java
@@ -182,15 +182,15 @@
                 Program program =
                         Program.serve(1, primary.listed("SERVING") + "," + replica.listed("SERVING"), true, null)) {
             for (int i = 0; i < 600; i += 10) {
-                primary.script.put("x" + Integer.toHexString(i), StandInHost.Act.BREAK);
+                primary.behaviors.put("x" + Integer.toHexString(i), StandInHost.HostBehavior.BREAK);
             }
             closeAfterRequests(primary, 200);
             try (Replayer replayer = newReplayer(recorded, ReplayOptions.ALL, program.port(0), "x")) {
                 List<Replayer.Played> played = replayer.play();
 
                 assertEquals(600, played.size(), "one final response each");
-                List<String> writesSeen = new ArrayList<>(primary.seen);
-                writesSeen.addAll(replica.seen);
+                List<String> writesSeen = new ArrayList<>(primary.requestIds);
+                writesSeen.addAll(replica.requestIds);
                 writesSeen.retainAll(idsOfWrites(played));
                 assertEquals(new HashSet<>(writesSeen).size(), writesSeen.size(), "a write was seen twice");
                 assertTrue(writesSeen.size() > 50, writesSeen.size() + " writes seen");
@@ -216,7 +216,7 @@
 
     private static void closeAfterRequests(PgHost host, int requests) {
         List<String> seen = Collections.synchronizedList(new ArrayList<>());
-        host.witness = line -> {
+        host.observer = line -> {
             seen.add(line.split(" ")[0]);
             if (seen.size() == requests) {
                 StandInHost.daemon(() -> close(host));
