--- a/src/main/java/mintstair/decision/AttemptObserver.java
+++ b/src/main/java/mintstair/decision/AttemptObserver.java
@@ -165,12 +165,10 @@
     }
 
     private void recordStatus(long now, Endpoint endpoint, long latency, ReplicationStatus status) {
-        switch (status.role()) {
-            case PRIMARY -> recordPrimaryStatus(now, endpoint, latency, status.position());
-            case REPLICA -> recordReplicaStatus(now, endpoint, latency, status.position());
-            case UNKNOWN -> {
-                // The position of a host whose role is unknown cannot be interpreted.
-            }
+        if (status.role() == ReplicationRole.PRIMARY) {
+            recordPrimaryStatus(now, endpoint, latency, status.position());
+        } else if (status.role() == ReplicationRole.REPLICA) {
+            recordReplicaStatus(now, endpoint, latency, status.position());
         }
     }
 
