--- a/src/main/java/mintstair/backend/pg/PgPosition.java
+++ b/src/main/java/mintstair/backend/pg/PgPosition.java
@@ -29,6 +29,11 @@
     /** The latest plausible position; a host that claims a later one would appear fresh enough for any read. */
     private static final BigDecimal MAX_MICROS = BigDecimal.valueOf(100_000_000_000_000_000L);
 
+    /** The length of whole milliseconds that are always plausible; they need no decimal arithmetic. */
+    private static final int MAX_SHORT_LENGTH = 14;
+
+    private static final long MICROS_PER_MILLI = 1_000;
+
     private PgPosition() {}
 
     /**
@@ -52,10 +57,17 @@
     }
 
     private static long toMicros(String number, Unit unit, RoundingMode rounding) {
+        if (number.length() <= MAX_SHORT_LENGTH && isWhole(number) && unit == Unit.MILLISECONDS) {
+            return Long.parseLong(number) * MICROS_PER_MILLI;
+        }
         BigDecimal micros = new BigDecimal(number).scaleByPowerOfTen(unit.microsExponent);
         if (micros.compareTo(MAX_MICROS) > 0) {
             throw new ProtocolException("replication position out of range: " + number);
         }
         return micros.setScale(0, rounding).longValueExact();
     }
+
+    private static boolean isWhole(String number) {
+        return number.indexOf('.') < 0 && number.indexOf('e') < 0 && number.indexOf('E') < 0;
+    }
 }
