Stop reading clients that send much ahead, in place of dropping their commands

Cause: the limits of one connection and of a front led to ClientSession.failProtocol, whose terminate clears the queue. Ruled out by the trace: hosts and routing (hosts got the first command of each connection alone), a broken connection (an error and an orderly end), a malformed end (80 commands before one were all answered).

Change: InputFlowControl stops reading a client whose queue takes too much of PipelineBudget (8 MiB for a front, as before, counted as heap). SocketPoll asks the kernel whether a client that was not read has closed, before each command and each attempt, as a selector does not see a close behind unread bytes. The time of a command that lay unread runs from the beginning of the pause; the rest of a message that may lie unread is not overdue. Input that was read behind a malformed message is discarded; it was parsed as if a message began there.

--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -27,12 +27,11 @@
     /** Maximum time for which the input of a client is discarded after the end of its session. */
     private static final long LINGER_TIMEOUT_MICROS = 250_000;
 
-    private static final long NEVER = Long.MAX_VALUE;
-
     private final Front front;
     private final Connection<?> connection;
     private final SessionInput input;
     private final CommandQueue commands;
+    private final InputFlowControl flow;
     private final ResponseWriter writer;
     private SessionState state = SessionState.OPEN;
     /** Set by the thread that detects the end of the connection, as the event loop may be busy. */
@@ -42,7 +41,7 @@
 
     private boolean started;
     private boolean requestSubmitted;
-    /** The error in the input after the queued commands; null if there is none. */
+    /** The error in the input after the queued commands, or null if there is none. */
     private String inputError;
     /** The message that is sent after the last response has been written; null for none. */
     private byte[] finalMessage;
@@ -61,6 +60,7 @@
         this.connection = connection;
         input = new SessionInput(connection, front, this::received);
         commands = new CommandQueue(framer, front.loop::now);
+        flow = new InputFlowControl(input, commands, front.pipelineBudget);
         writer = new ResponseWriter(connection, front.transport.getMemoryManager(), front.loop, this::written);
         idleSinceMicros = front.loop.now();
     }
@@ -99,7 +99,7 @@
 
     private void received(ByteBuffer bytes, long readAtMicros) {
         transcript.record(true, bytes.array());
-        if (state.acceptsInput()) {
+        if (state.acceptsInput() && inputError == null) {
             enqueue(bytes, readAtMicros);
         }
     }
@@ -108,25 +108,18 @@
         try {
             commands.append(bytes, readAtMicros);
         } catch (ProtocolException e) {
-            inputFailed(e);
+            inputFailed(e.getMessage());
             return;
         }
         runCommands();
-        if (!state.acceptsInput()) {
-            return;
-        }
-        boolean withinFrontLimit = front.accountPipelined(commands.heldBytesChange());
-        if (!withinFrontLimit || commands.isOverLimit()) {
-            failProtocol("too much was sent ahead of its answers");
-        }
     }
 
-    /** Stops reading input; the complete commands before the error are answered before it is reported. */
-    private void inputFailed(ProtocolException error) {
-        input.discard();
+    /** Discards further input; the complete commands before the error are answered before it is reported. */
+    private void inputFailed(String error) {
+        flow.discardInput();
         closing = true;
         state = state.after(SessionState.Event.INPUT_ERROR);
-        inputError = error.getMessage();
+        inputError = error;
         runCommands();
     }
 
@@ -141,7 +134,7 @@
     private void release() {
         state = state.after(SessionState.Event.CLOSE);
         front.counters.clientConnectionClosed(closeReason);
-        discardCommands();
+        flow.release();
         transcript.ended();
         front.remove(this);
         if (exchange != null) {
@@ -149,11 +142,6 @@
         }
     }
 
-    private void discardCommands() {
-        commands.clear();
-        front.accountPipelined(commands.heldBytesChange());
-    }
-
     /** Sets the reason unless one was set before. */
     private void setCloseReason(ClientCloseReason reason) {
         if (closeReason == ClientCloseReason.LEFT) {
@@ -178,9 +166,18 @@
     }
 
     private void checkReadAndWriteTimeouts(long nowMicros) {
-        if (writer.isStalled(nowMicros)) {
+        flow.update(isResponseOwed());
+        if (flow.checkUnread(nowMicros)) {
+            abort(ClientCloseReason.LEFT);
+        } else if (writer.isStalled(nowMicros)) {
             abort(ClientCloseReason.NOT_READING);
-        } else if (!started && nowMicros - idleSinceMicros > READ_TIMEOUT_MICROS) {
+        } else if (!input.hasUnprocessedReads()) {
+            checkReadTimeouts(nowMicros);
+        }
+    }
+
+    private void checkReadTimeouts(long nowMicros) {
+        if (!started && nowMicros - idleSinceMicros > READ_TIMEOUT_MICROS) {
             failProtocol("the connection was not started in time");
         } else if (commands.partialMessageAgeMicros(nowMicros) > READ_TIMEOUT_MICROS) {
             failProtocol("a message was not finished in time");
@@ -218,11 +215,15 @@
 
     /** Returns since when nothing has been in flight, or {@link Long#MAX_VALUE} if the session is not open and idle. */
     final long idleSinceMicros() {
-        return state == SessionState.OPEN && hasNothingInFlight() ? idleSinceMicros : NEVER;
+        return state == SessionState.OPEN && hasNothingInFlight() ? idleSinceMicros : Long.MAX_VALUE;
     }
 
     private boolean hasNothingInFlight() {
-        return exchange == null && !writer.isWriting() && !commands.hasPartialMessage() && commands.isEmpty();
+        return !isResponseOwed() && !commands.hasPartialMessage() && commands.isEmpty();
+    }
+
+    private boolean isResponseOwed() {
+        return exchange != null || writer.isWriting();
     }
 
     /** Ends the session with a final message if it only waits for the rest of an incomplete message. */
@@ -265,7 +266,7 @@
     protected final void close() {
         setCloseReason(ClientCloseReason.QUIT);
         state = state.after(SessionState.Event.CLOSE);
-        input.discard();
+        flow.discardInput();
         connection.closeSilently();
     }
 
@@ -286,18 +287,21 @@
                 started = true;
                 idleSinceMicros = front.loop.now();
             }
-            // An input error is counted again for each response that is written after it was reported.
-            if (inputError != null && state != SessionState.CLOSED && exchange == null && commands.isEmpty()) {
+            if (state == SessionState.FAILING && exchange == null && commands.isEmpty()) {
                 failProtocol(inputError);
             }
         } catch (ProtocolException e) {
             failProtocol(e.getMessage());
         }
+        flow.update(isResponseOwed());
     }
 
     private boolean canRunCommand() {
-        boolean answered = exchange == null && !writer.isWriting();
-        return state.acceptsInput() && !disconnected && answered && !commands.isEmpty();
+        return state.acceptsInput() && !isResponseOwed() && !commands.isEmpty() && !isDisconnected();
+    }
+
+    private boolean isDisconnected() {
+        return disconnected || input.isClosedBehindUnreadInput();
     }
 
     private void failProtocol(String error) {
@@ -312,18 +316,16 @@
             return;
         }
         state = state.after(SessionState.Event.TERMINATE);
-        input.discard();
+        flow.discardAll();
         closing = true;
         endingSinceMicros = front.loop.now();
         finalMessage = message;
-        discardCommands();
         endIfWritten();
     }
 
     /** Sends the final message, or closes the connection, once all responses have been written. */
     private void endIfWritten() {
-        boolean answered = exchange == null && !writer.isWriting();
-        if (state == SessionState.TERMINATING && finalMessage != null && answered) {
+        if (state == SessionState.TERMINATING && finalMessage != null && !isResponseOwed()) {
             byte[] message = finalMessage;
             finalMessage = null;
             write(message);
@@ -362,7 +364,7 @@
 
         @Override
         public boolean isDisconnected() {
-            return disconnected;
+            return ClientSession.this.isDisconnected();
         }
 
         @Override
--- a/src/main/java/mintstair/front/CommandQueue.java
+++ b/src/main/java/mintstair/front/CommandQueue.java
@@ -8,16 +8,22 @@
 
 /**
  * The commands that a client has pipelined, in order, and the received part of an incomplete message. Runs on the event
- * loop. The queue neither blocks nor drops commands at its limits: the session ends a client for which
- * {@link #isOverLimit} is true.
+ * loop. The queue neither blocks nor drops commands: {@link InputFlowControl} stops reading a client whose queue is too
+ * long.
  */
 final class CommandQueue {
-    private static final int MAX_BYTES = 512 * 1024;
-    private static final int MAX_COMMANDS = 64;
+    /** The heap that a queued command needs besides its message: the objects and the entry of the queue. */
+    static final int COMMAND_OVERHEAD_BYTES = 64;
+
     private static final long NEVER = Long.MAX_VALUE;
 
     /** One complete message, and the time at which its last byte was read. */
-    record Command(byte[] message, long readAtMicros) {}
+    record Command(byte[] message, long readAtMicros) {
+        /** Returns the heap that the command needs, in bytes. */
+        int heapBytes() {
+            return message.length + COMMAND_OVERHEAD_BYTES;
+        }
+    }
 
     private final Framer framer;
     private final LongSupplier clockMicros;
@@ -42,8 +48,9 @@
         framer.feed(bytes);
         try {
             for (byte[] message = framer.next(); message != null; message = framer.next()) {
-                commands.add(new Command(message, readAtMicros));
-                commandBytes += message.length;
+                Command command = new Command(message, readAtMicros);
+                commands.add(command);
+                commandBytes += command.heapBytes();
                 isContinuation = false;
             }
         } catch (ProtocolException e) {
@@ -61,7 +68,7 @@
     Command poll() {
         Command next = commands.poll();
         if (next != null) {
-            commandBytes -= next.message.length;
+            commandBytes -= next.heapBytes();
         }
         return next;
     }
@@ -81,16 +88,23 @@
         return nowMicros - Math.min(nowMicros, partialSinceMicros);
     }
 
-    /** Returns the change of the bytes held by this queue since the last call of this method. */
+    /** Restarts the time for the rest of the incomplete message, if there is one. */
+    void restartPartialMessageTimeout(long nowMicros) {
+        if (hasPartialMessage()) {
+            partialSinceMicros = nowMicros;
+        }
+    }
+
+    /** Returns the change of the bytes of heap held by this queue since the last call of this method. */
     int heldBytesChange() {
         int change = framer.pending() + commandBytes - accountedBytes;
         accountedBytes += change;
         return change;
     }
 
-    /** Whether the client exceeds the limits on pipelining; bytes count as of the last {@link #heldBytesChange}. */
-    boolean isOverLimit() {
-        return accountedBytes > MAX_BYTES || commands.size() > MAX_COMMANDS;
+    /** Returns the heap that the queued commands need, in bytes. */
+    int queuedBytes() {
+        return commandBytes;
     }
 
     /** Discards all commands and the incomplete message. */
@@ -100,7 +114,8 @@
         commandBytes = 0;
     }
 
-    private void discardPartialMessage() {
+    /** Discards the incomplete message. */
+    void discardPartialMessage() {
         framer.clear();
         partialSinceMicros = NEVER;
     }
--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -28,8 +28,6 @@
  * <p>Runs on the event loop, except for the methods that are documented otherwise.
  */
 public abstract class Front {
-    /** Limit on the input that all clients together may pipeline; bounds its share of a small heap. */
-    private static final int MAX_PIPELINED_BYTES = 8 * 1024 * 1024;
     /** A client that has been idle for less time is expected to send another request and is not evicted. */
     private static final long MIN_IDLE_MICROS = 250_000;
     /** The same bound once the limit on clients is exceeded. */
@@ -48,11 +46,12 @@
     /** Bytes of all clients that have been read from the network and not yet processed by the event loop. */
     final AtomicLong unprocessedBytes = new AtomicLong();
 
+    final PipelineBudget pipelineBudget = new PipelineBudget();
+
     private final RequestRules rules;
     private final AtomicInteger openConnections = new AtomicInteger();
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
     private volatile int maxClients;
-    private int pipelinedBytes;
     private TCPNIOServerConnection listener;
     private Recorder recorder;
 
@@ -216,12 +215,6 @@
         return rules;
     }
 
-    /** Adds a change to the pipelined bytes of all clients; returns false if their sum exceeds the limit. */
-    boolean accountPipelined(int changeBytes) {
-        pipelinedBytes += changeBytes;
-        return pipelinedBytes <= MAX_PIPELINED_BYTES;
-    }
-
     /**
      * Closes the listener; on any thread.
      *
--- a/src/main/java/mintstair/front/SessionInput.java
+++ b/src/main/java/mintstair/front/SessionInput.java
@@ -4,16 +4,19 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import mintstair.proxy.EventLoop;
 import mintstair.wire.ReadThrottle;
+import mintstair.wire.SocketPoll;
+import mintstair.wire.SocketState;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * The read side of a client connection: passes bytes from the network thread to the event loop, with a bound on the
- * bytes queued in between, and closes the connection without losing a request that has just been sent.
+ * bytes queued in between, pauses reading, and closes the connection without losing a request that has just been sent.
  *
  * <p>Each field is written by the thread that its comment names; the volatile ones are also read by other threads.
  */
@@ -23,6 +26,7 @@
 
     private static final int FINAL_READ_BYTES = 4 * 1024;
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
+    private static final long NEVER = Long.MAX_VALUE;
 
     /** Receives the bytes that were read, on the event loop. */
     interface Handler {
@@ -41,6 +45,14 @@
     private volatile int discardedBytes;
     /** The number of {@link #reads} that the event loop has processed; used by the event loop only. */
     private int processedReads;
+    /** Whether the event loop has paused reading; used by the event loop only. */
+    private boolean paused;
+    /** Whether reading was ever paused, so that the client's close may be behind unread input; as above. */
+    private boolean everPaused;
+    /** Used by the network thread only, as is the next field. */
+    private long pausedSinceMicros;
+    /** The time from which on the next bytes may have been unread, or {@link #NEVER}. */
+    private long unreadSinceMicros = NEVER;
 
     SessionInput(Connection<?> connection, Front front, Handler handler) {
         this.connection = (NIOConnection) connection;
@@ -60,8 +72,9 @@
             return;
         }
         reads++;
-        // The timeout of the request starts when it is read, even if the event loop is busy.
-        long readAtMicros = loop.now();
+        // The timeout of the request starts when it can be read, even if reading is paused or the event loop is busy.
+        long readAtMicros = Math.min(unreadSinceMicros, loop.now());
+        unreadSinceMicros = NEVER;
         throttle.bytesRead(length);
         loop.execute(() -> {
             processedReads++;
@@ -70,6 +83,52 @@
         });
     }
 
+    /** Pauses or resumes reading; on the event loop. */
+    void setPaused(boolean pause) {
+        if (pause == paused) {
+            return;
+        }
+        paused = pause;
+        everPaused = true;
+        long nowMicros = loop.now();
+        connection.executeInEventThread(IOEvent.READ, () -> applyPause(pause, nowMicros));
+    }
+
+    private void applyPause(boolean pause, long nowMicros) {
+        if (pause) {
+            pausedSinceMicros = nowMicros;
+        } else {
+            boolean hasUnreadInput =
+                    socketState().map(SocketState::hasUnreadInput).orElse(false);
+            unreadSinceMicros = hasUnreadInput ? pausedSinceMicros : NEVER;
+        }
+        throttle.setHeld(pause);
+    }
+
+    /** Whether the event loop has paused reading; on the event loop. */
+    boolean isPaused() {
+        return paused;
+    }
+
+    /** Returns the state of the socket in the kernel, if it can be determined; on any thread. */
+    Optional<SocketState> socketState() {
+        return SocketPoll.of(channel());
+    }
+
+    /**
+     * Whether the client has closed the connection, and this may not have been reported because input that it sent
+     * before has not been read; on the event loop.
+     */
+    boolean isClosedBehindUnreadInput() {
+        return (everPaused || throttle.isPaused())
+                && socketState().map(SocketState::isClosedByPeer).orElse(false);
+    }
+
+    /** Whether the event loop has not yet processed all bytes that were read; on the event loop. */
+    boolean hasUnprocessedReads() {
+        return reads != processedReads;
+    }
+
     /** Discards all bytes that are read from now on; on any thread. */
     void discard() {
         discarding = true;
--- a/src/main/java/mintstair/front/SessionState.java
+++ b/src/main/java/mintstair/front/SessionState.java
@@ -21,20 +21,23 @@
  * -----------  -----------  --------------------  ---------------  ------------------------------------------------
  * OPEN         yes          yes                   yes              an event changes its state
  * DRAINING     yes          yes                   yes              nothing is in flight and nothing is left to read
- * FAILING      in flight    yes                   yes              the last queued command is answered
+ * FAILING      no           yes                   yes              the last queued command is answered
  * TERMINATING  no           no                    yes              its final message is written
  * LINGERING    no           no                    no               the client closes, or a limit is reached
  * CLOSED       no           no                    no               -
  * </pre>
  *
- * "In flight" is input that was read before the error and has not yet been processed by the event loop.
+ * Commands that are queued when the state becomes FAILING came before the error; what follows the error is discarded.
  */
 enum SessionState {
     /** Commands are read and answered. */
     OPEN,
     /** As {@link #OPEN}, but the connection is closed as soon as it is idle. */
     DRAINING,
-    /** The input violates the protocol; the complete commands before the error are answered before it is reported. */
+    /**
+     * The input violates the protocol or ends in a message that was not completed in time; the complete commands before
+     * the error are answered before it is reported.
+     */
     FAILING,
     /** A request in flight is still answered, then the final message is sent, if there is one. */
     TERMINATING,
@@ -68,7 +71,7 @@
         };
     }
 
-    /** Whether input is parsed and queued commands are run. */
+    /** Whether queued commands are run, and input is taken unless it had an error. */
     boolean acceptsInput() {
         return this == OPEN || this == DRAINING || this == FAILING;
     }
--- a/src/main/java/mintstair/wire/ReadThrottle.java
+++ b/src/main/java/mintstair/wire/ReadThrottle.java
@@ -8,8 +8,8 @@
 
 /**
  * Applies back-pressure to the read side of one connection. It pauses reads while too many bytes that were read are
- * pending, that is, not consumed yet. Further bytes then stay in the kernel's socket buffer, which slows down the
- * sender. Thread-safe.
+ * pending, that is, not consumed yet, and while its owner holds the connection. Further bytes then stay in the kernel's
+ * socket buffer, which slows down the sender. Thread-safe.
  */
 public final class ReadThrottle {
     private final Connection<?> connection;
@@ -18,9 +18,11 @@
     private final AtomicLong totalBytes;
     private final long maxTotalBytes;
 
-    /** The bytes that were read and not consumed yet. Guarded by this, as are the next two fields. */
+    /** The bytes that were read and not consumed yet. Guarded by this, as are the next four fields. */
     private int pendingBytes;
 
+    private boolean overLimit;
+    private boolean held;
     private boolean paused;
     private boolean closed;
 
@@ -47,9 +49,9 @@
         }
         pendingBytes += bytes;
         boolean full = totalBytes.addAndGet(bytes) > maxTotalBytes;
-        if (pendingBytes > (full ? maxBytesWhenFull : maxBytes) && !paused) {
-            paused = true;
-            setReading(false);
+        if (pendingBytes > (full ? maxBytesWhenFull : maxBytes)) {
+            overLimit = true;
+            pauseOrResume();
         }
     }
 
@@ -60,12 +62,18 @@
         }
         pendingBytes -= bytes;
         totalBytes.addAndGet(-bytes);
-        if (paused && pendingBytes <= maxBytesWhenFull / 2) {
-            paused = false;
-            setReading(true);
+        if (pendingBytes <= maxBytesWhenFull / 2) {
+            overLimit = false;
+            pauseOrResume();
         }
     }
 
+    /** Pauses reads until the hold is released, whatever the number of pending bytes. */
+    public synchronized void setHeld(boolean hold) {
+        held = hold;
+        pauseOrResume();
+    }
+
     /** Removes the pending bytes of this closed connection from the total. Later calls have no effect. */
     public synchronized void connectionClosed() {
         closed = true;
@@ -78,6 +86,14 @@
         return paused;
     }
 
+    private void pauseOrResume() {
+        boolean pause = overLimit || held;
+        if (pause != paused && !closed) {
+            paused = pause;
+            setReading(!pause);
+        }
+    }
+
     private void setReading(boolean enabled) {
         try {
             if (enabled) {
--- a/src/test/java/mintstair/program/MongoFrontTest.java
+++ b/src/test/java/mintstair/program/MongoFrontTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
@@ -126,6 +127,31 @@
                 1, primary.requestIds.stream().filter("broken"::equals).count(), "what may have run is not resent");
     }
 
+    /** Guards against commands that are dropped because too many, or too large ones, were sent at once. */
+    @Test
+    void commandsSentAtOnceAreAllAnswered() throws IOException {
+        ByteArrayOutputStream commands = new ByteArrayOutputStream();
+        BsonString value = new BsonString("v".repeat(60_000));
+        for (int i = 0; i < 20; i++) {
+            BsonDocument insert = new BsonDocument("insert", new BsonString("e"))
+                    .append("documents", new BsonArray(List.of(new BsonDocument("a", value))))
+                    .append("comment", new BsonString("id=w" + i + ",c=write,cluster=1"))
+                    .append("maxTimeMS", new BsonInt32(4000))
+                    .append("$db", new BsonString("orders"));
+            commands.writeBytes(MongoMessage.opMsg(insert, 0));
+        }
+        for (int i = 0; i < 100; i++) {
+            commands.writeBytes(MongoMessage.opMsg(find("r" + i, ", $db: 'orders'"), 0));
+        }
+        client.raw(commands.toByteArray());
+        for (int i = 0; i < 20; i++) {
+            assertEquals("served w" + i, client.answer());
+        }
+        for (int i = 0; i < 100; i++) {
+            assertEquals("served r" + i, client.answer());
+        }
+    }
+
     @Test
     void deadlineIsPassedOnAndKept() throws IOException {
         primary.behaviors.put("silent", HostBehavior.SILENT);
--- a/src/test/java/mintstair/program/Program.java
+++ b/src/test/java/mintstair/program/Program.java
@@ -52,6 +52,8 @@
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
                 "-Xmx64m",
+                "--add-exports",
+                "java.base/sun.nio.ch=ALL-UNNAMED",
                 "-cp",
                 System.getProperty("java.class.path"),
                 "mintstair.Main"));
--- a/src/test/java/mintstair/program/ShutdownTest.java
+++ b/src/test/java/mintstair/program/ShutdownTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -12,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 import mintstair.standin.Client;
 import mintstair.standin.Discovery;
 import mintstair.standin.PgHost;
@@ -30,6 +32,8 @@
     /** SIGKILL comes no sooner after SIGTERM: the longest deadline, taken as 3 s where it is longer, and 0.7 s. */
     private static final long KILLED = 3_700;
 
+    private static final long WORK_NANOS = 40_000_000;
+
     private PgHost primary;
     private PgHost replica;
     private Discovery discovery;
@@ -73,6 +77,32 @@
         assertEquals(1, program.lines("counters: ").size());
     }
 
+    /** Guards against commands that were sent at once, and that the end of the process leaves without an answer. */
+    @Test
+    void pipelinedCommandsAreAllAnsweredBeforeTheEnd() throws Exception {
+        program = Program.serve(discovery.port(), known, false, null);
+        replica.observer = request -> LockSupport.parkNanos(WORK_NANOS);
+        primary.observer = replica.observer;
+        try (Client.Pg client = new Client.Pg(program.port(0))) {
+            ByteArrayOutputStream commands = new ByteArrayOutputStream();
+            for (int i = 0; i < 300; i++) {
+                commands.writeBytes(Client.Pg.query(Client.Pg.words(false, "id=r" + i + ",c=any,cluster=1", 4_000)));
+            }
+            client.raw(commands.toByteArray());
+            assertEquals("served r0", client.answer());
+            long told = System.nanoTime();
+            program.terminate();
+            for (int i = 1; i < 300; i++) {
+                String answer = client.answer();
+                assertTrue(answer.equals("served r" + i) || answer.startsWith("refused "), i + ": " + answer);
+            }
+            assertEquals(-1, client.in.read());
+            long took = (System.nanoTime() - told) / 1_000_000;
+            assertTrue(took < KILLED, "answers after " + took + " ms");
+        }
+        assertEquals(0, program.exit());
+    }
+
     private static String inGroup(int group, String listed, int port) {
         return listed.replace("\"pod_group\":1", "\"pod_group\":" + group)
                 .replaceAll("\"uid\":\"(.)\"", "\"uid\":\"$1" + group + "\"")
