Answer whole commands before the error for a message that is not finished in time

Callers saw: whole commands behind which a part of a message lay for 2.5 s had no answer, only one error for the part (80 reads and a part: 1 served).

Cause: ClientSession.checkReadAndWriteTimeouts ended the session by failProtocol, which clears the queue, where a malformed message lets what came before it be answered first.

ClientSessionTest held the drop as right in terminatingSessionAnswersTheRequestInFlightButNotQueuedOnes; the test in its place asks for the answers to all whole commands, then the error, then the end, and that the error counts once.

--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -41,7 +41,7 @@
 
     private boolean started;
     private boolean requestSubmitted;
-    /** The error in the input after the queued commands, or null if there is none. */
+    /** The error in the input after the queued commands, such as a message that is never completed; or null. */
     private String inputError;
     /** The message that is sent after the last response has been written; null for none. */
     private byte[] finalMessage;
@@ -180,7 +180,7 @@
         if (!started && nowMicros - idleSinceMicros > READ_TIMEOUT_MICROS) {
             failProtocol("the connection was not started in time");
         } else if (commands.partialMessageAgeMicros(nowMicros) > READ_TIMEOUT_MICROS) {
-            failProtocol("a message was not finished in time");
+            inputFailed("a message was not finished in time");
         }
     }
 
--- a/src/test/java/mintstair/front/ClientSessionTest.java
+++ b/src/test/java/mintstair/front/ClientSessionTest.java
@@ -129,22 +129,24 @@
     }
 
     @Test
-    void terminatingSessionAnswersTheRequestInFlightButNotQueuedOnes() throws IOException {
+    void sessionWithUnfinishedMessageAnswersAllCommandsBeforeTheError() throws IOException {
         try (Client.Pg client = new Client.Pg(port)) {
             byte[] unfinished = new PgWriter().message('Q', "SELECT 1").bytes();
             client.raw(join(writeQuery("w"), EMPTY_QUERY, new byte[] {unfinished[0], 0, 0}));
             awaitAttempts(1);
 
             // The rest of the last message is not received within the read timeout.
-            Program.await(() -> onLoop(() -> counters.malformedMessages) == 1, "the session to terminate");
+            awaitReadTimeout();
             replyToLastAttempt("w");
 
             assertEquals("served w", client.answer());
+            assertEquals("empty", client.answer());
             assertEquals("failed", client.answer());
             assertEquals("08P01", client.code);
             assertEquals(END_OF_STREAM, client.in.read());
         }
         awaitClosed("protocol_error");
+        assertEquals(1, onLoop(() -> counters.malformedMessages));
     }
 
     @Test
--- a/src/test/java/mintstair/front/PipeliningTest.java
+++ b/src/test/java/mintstair/front/PipeliningTest.java
@@ -144,6 +144,19 @@
         addHeldBytes((int) -PipelineBudget.MAX_BYTES);
     }
 
+    /** Guards against commands that are dropped because a message behind them is not finished in time. */
+    @Test
+    void commandsBeforeAnUnfinishedMessageAreAnsweredBeforeTheError() throws IOException {
+        try (Client.Pg client = clientWithWriteInFlight()) {
+            client.raw(invalidQueries(COMMANDS, 10));
+            client.raw(new byte[] {'Q', 0, 0});
+            awaitReadTimeout();
+            replyToLastAttempt("w");
+            assertAnswered(client, COMMANDS);
+            assertErrorAndEnd(client);
+        }
+    }
+
     @Test
     void commandsBeforeAMalformedMessageAreAnsweredBeforeTheError() throws IOException {
         try (Client.Pg client = clientWithWriteInFlight()) {
--- a/src/test/java/mintstair/program/MongoFrontTest.java
+++ b/src/test/java/mintstair/program/MongoFrontTest.java
@@ -129,7 +129,7 @@
 
     /** Guards against commands that are dropped because too many, or too large ones, were sent at once. */
     @Test
-    void commandsSentAtOnceAreAllAnswered() throws IOException {
+    void commandsSentAtOnceAreAllAnsweredAndAnUnfinishedOneIsAnError() throws IOException {
         ByteArrayOutputStream commands = new ByteArrayOutputStream();
         BsonString value = new BsonString("v".repeat(60_000));
         for (int i = 0; i < 20; i++) {
@@ -143,6 +143,8 @@
         for (int i = 0; i < 100; i++) {
             commands.writeBytes(MongoMessage.opMsg(find("r" + i, ", $db: 'orders'"), 0));
         }
+        byte[] unfinished = MongoMessage.opMsg(find("unfinished", ", $db: 'orders'"), 0);
+        commands.write(unfinished, 0, unfinished.length - 1);
         client.raw(commands.toByteArray());
         for (int i = 0; i < 20; i++) {
             assertEquals("served w" + i, client.answer());
@@ -150,6 +152,8 @@
         for (int i = 0; i < 100; i++) {
             assertEquals("served r" + i, client.answer());
         }
+        assertEquals(9, client.read().getNumber("code").intValue());
+        assertEquals(-1, client.in.read());
     }
 
     @Test
