--- a/src/test/java/mintstair/program/ShutdownTest.java
+++ b/src/test/java/mintstair/program/ShutdownTest.java
@@ -24,15 +24,16 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * The end of a process at moments in which something is still owed: what was taken has its one answer before SIGKILL
- * may come.
+ * Tests that each request accepted before or during a shutdown gets its one response before SIGKILL may be sent,
+ * whatever its state is at SIGTERM.
  */
 class ShutdownTest {
-    private static final long AHEAD = System.currentTimeMillis() + 3_600_000;
-    /** SIGKILL comes no sooner after SIGTERM: the longest deadline, taken as 3 s where it is longer, and 0.7 s. */
-    private static final long KILLED = 3_700;
+    /** Replication positions in the future, so that no replica lags. */
+    private static final long POSITION_MILLIS = System.currentTimeMillis() + 3_600_000;
+    /** The minimum time from SIGTERM to SIGKILL: the longest deadline, limited to 3 s, and 0.7 s. */
+    private static final long KILL_DELAY_MILLIS = 3_700;
 
-    private static final long WORK_NANOS = 40_000_000;
+    private static final long HOST_DELAY_NANOS = 40_000_000;
 
     private PgHost primary;
     private PgHost replica;
@@ -42,8 +43,8 @@
 
     @BeforeEach
     void start() throws IOException {
-        primary = new PgHost("p", true, AHEAD);
-        replica = new PgHost("r", false, AHEAD);
+        primary = new PgHost("p", true, POSITION_MILLIS);
+        replica = new PgHost("r", false, POSITION_MILLIS);
         known = primary.listed("SERVING") + "," + replica.listed("SERVING");
         discovery = new Discovery(known);
     }
@@ -58,30 +59,30 @@
         replica.close();
     }
 
-    /** A message that is never finished keeps nobody from ending in order, however short the deadlines are. */
+    /** Guards against an incomplete message that delays the exit, however short the deadlines are. */
     @Test
-    void clientInTheMiddleOfAMessageIsToldOfTheEndBeforeItIsKilled() throws Exception {
+    void clientInTheMiddleOfAMessageGetsAnErrorBeforeTheKill() throws Exception {
         program = Program.serve(
                 Program.config(discovery.port(), known, false).replace("\"deadlineS\":5", "\"deadlineS\":0.5"), null);
         byte[] message = Client.Pg.query(Client.Pg.words(false, "id=half,c=any,cluster=1", 500));
         try (Client.Pg client = new Client.Pg(program.port(0))) {
             client.raw(Arrays.copyOf(message, message.length / 2));
-            long told = System.nanoTime();
+            long signalledNanos = System.nanoTime();
             program.terminate();
             assertEquals("failed", client.answer());
             assertEquals(0, program.exit());
-            long took = (System.nanoTime() - told) / 1_000_000;
-            // SIGKILL may come after 1.2 s; what is unfinished without an end is given up after 2.5 s.
-            assertTrue(took < 2_000, "ended after " + took + " ms");
+            long tookMillis = (System.nanoTime() - signalledNanos) / 1_000_000;
+            // SIGKILL may be sent after 1.2 s; without a shutdown an incomplete message times out after 2.5 s.
+            assertTrue(tookMillis < 2_000, "ended after " + tookMillis + " ms");
         }
         assertEquals(1, program.lines("counters: ").size());
     }
 
-    /** Guards against commands that were sent at once, and that the end of the process leaves without an answer. */
+    /** Guards against pipelined commands that get no response because the process exits. */
     @Test
     void pipelinedCommandsAreAllAnsweredBeforeTheEnd() throws Exception {
         program = Program.serve(discovery.port(), known, false, null);
-        replica.observer = request -> LockSupport.parkNanos(WORK_NANOS);
+        replica.observer = request -> LockSupport.parkNanos(HOST_DELAY_NANOS);
         primary.observer = replica.observer;
         try (Client.Pg client = new Client.Pg(program.port(0))) {
             ByteArrayOutputStream commands = new ByteArrayOutputStream();
@@ -90,15 +91,15 @@
             }
             client.raw(commands.toByteArray());
             assertEquals("served r0", client.answer());
-            long told = System.nanoTime();
+            long signalledNanos = System.nanoTime();
             program.terminate();
             for (int i = 1; i < 300; i++) {
                 String answer = client.answer();
                 assertTrue(answer.equals("served r" + i) || answer.startsWith("refused "), i + ": " + answer);
             }
             assertEquals(-1, client.in.read());
-            long took = (System.nanoTime() - told) / 1_000_000;
-            assertTrue(took < KILLED, "answers after " + took + " ms");
+            long tookMillis = (System.nanoTime() - signalledNanos) / 1_000_000;
+            assertTrue(tookMillis < KILL_DELAY_MILLIS, "answers after " + tookMillis + " ms");
         }
         assertEquals(0, program.exit());
     }
@@ -110,15 +111,15 @@
     }
 
     /**
-     * Requests that wait, connect, are half written, are sent, are half answered, and lie between two attempts; hosts
-     * hang; signals come again.
+     * Covers requests that wait for a primary, for a connection, for the rest of their message, for a reply, for the
+     * rest of a reply, and for a retry; hosts hang, and signals are repeated.
      */
     @Test
     void requestInEachStateHasItsAnswerBeforeTheEnd() throws Exception {
-        try (ServerSocket mute = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
-            // Group 2 has no primary; the primary of group 3 takes connections and says nothing.
+        try (ServerSocket silentHost = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
+            // Replica set 2 has no primary; the primary of replica set 3 accepts connections and sends nothing.
             known += "," + inGroup(2, replica.listed("SERVING"), replica.port()) + ","
-                    + inGroup(3, primary.listed("SERVING"), mute.getLocalPort());
+                    + inGroup(3, primary.listed("SERVING"), silentHost.getLocalPort());
             discovery.publish(known);
             primary.behaviors.put("sent", HostBehavior.SILENT);
             replica.behaviors.put("read", HostBehavior.SILENT);
@@ -150,10 +151,10 @@
                     () -> primary.requestIds.contains("sent")
                             && (replica.requestIds.contains("read") || primary.requestIds.contains("read")),
                     "the sends");
-            mute.accept();
-            long told = System.nanoTime();
+            silentHost.accept();
+            long signalledNanos = System.nanoTime();
             program.terminate();
-            Program.await(() -> !program.lines("ending: ").isEmpty(), "the end to begin");
+            Program.await(() -> !program.lines("ending: ").isEmpty(), "the shutdown to begin");
             program.terminate();
             program.reload(Program.config(discovery.port(), known, false));
             clients.get(5).raw(Arrays.copyOfRange(late, late.length / 2, late.length));
@@ -167,16 +168,16 @@
             assertEquals("failed", clients.get(2).answer(), "it may have run");
             assertRefused(clients.get(3));
             assertRefused(clients.get(7));
-            long took = (System.nanoTime() - told) / 1_000_000;
-            assertTrue(took < KILLED, "answers after " + took + " ms");
+            long tookMillis = (System.nanoTime() - signalledNanos) / 1_000_000;
+            assertTrue(tookMillis < KILL_DELAY_MILLIS, "answers after " + tookMillis + " ms");
             primary.trailingAllowed.release();
             int rest = 0;
             try {
                 rest = clients.get(4).in.readAllBytes().length;
             } catch (IOException e) {
-                // Cut while more was on its way: that tells as well.
+                // The connection was reset, which the client can detect as well.
             }
-            assertTrue(rest < PgHost.LONG_VALUE_LENGTH, "cut, not ended");
+            assertTrue(rest < PgHost.LONG_VALUE_LENGTH, "the long reply must be incomplete");
             assertEquals(0, program.exit());
             for (Client.Pg client : clients) {
                 client.close();
@@ -191,24 +192,23 @@
     }
 
     /**
-     * Guards against an end that is over before those have come whom the kernel took in: the process stands still
-     * from before it stops to listen until after, while a client connects and asks.
+     * Guards against connections in the kernel's backlog that are reset by the shutdown: the process is stopped from
+     * before it closes its listener until after, while a client connects and sends a request.
      */
     @Test
-    void clientInTheBacklogAtTheEndHasItsAnswer() throws Exception {
+    void clientInTheBacklogAtTheShutdownIsAnswered() throws Exception {
         program = Program.serve(Program.config(discovery.port(), known, true), null);
         int port = program.port(0);
-        long told = System.nanoTime();
+        long signalledNanos = System.nanoTime();
         program.terminate();
-        Program.await(() -> !program.lines("ending: ").isEmpty(), "the end to begin");
+        Program.await(() -> !program.lines("ending: ").isEmpty(), "the shutdown to begin");
         program.signal("STOP");
         try (Client.Pg client = new Client.Pg(port, true)) {
             client.raw(Client.Pg.startup());
             client.send(false, "id=backlog,c=any,cluster=1", 5_000);
-            // It stops to listen 0.8 s before SIGKILL may come; a client has to be there before that, on a slow machine
-            // too.
-            long until = told + (KILLED - 600) * 1_000_000L;
-            Program.await(() -> System.nanoTime() > until, "the time of the end to have passed");
+            // The listener is closed 0.8 s before SIGKILL may be sent; the client must be connected before that.
+            long until = signalledNanos + (KILL_DELAY_MILLIS - 600) * 1_000_000L;
+            Program.await(() -> System.nanoTime() > until, "the time at which the listener would be closed");
             program.signal("CONT");
             assertEquals("nothing", client.answer(), "the start-up");
             String answer = client.answer();
@@ -217,11 +217,9 @@
         assertEquals(0, program.exit());
     }
 
-    /**
-     * SIGTERM as soon as clients can come, while other parts of the program still start: what was taken is answered.
-     */
+    /** SIGTERM as soon as clients can connect, while other parts of the program are still starting. */
     @Test
-    void terminationDuringTheStartAnswersWhatWasTaken(@TempDir Path folder) throws Exception {
+    void terminationDuringTheStartAnswersAcceptedRequests(@TempDir Path folder) throws Exception {
         StringBuilder members = new StringBuilder();
         for (String member : List.of("n1", "n2", "n3")) {
             try (ServerSocket free = new ServerSocket(0)) {
@@ -243,10 +241,7 @@
         assertEquals(0, program.exit());
     }
 
-    /**
-     * A part that can't be started once clients can come: they have their answers, and the end still says that the
-     * start failed.
-     */
+    /** A part that cannot be started after clients could connect: the exit status still reports the failed start. */
     @Test
     void storeThatCannotStartEndsWithTheStatusOfAFault(@TempDir Path folder) throws Exception {
         Path taken = Files.writeString(folder.resolve("file"), "no folder");
@@ -257,7 +252,7 @@
         assertEquals(1, program.lines("mintstair: ").size(), program.printed.toString());
     }
 
-    /** SIGTERM before any client could come: the end is quick and leaves nobody waiting. */
+    /** SIGTERM before any client could connect. */
     @Test
     void terminationBeforeItServesEndsAtOnce() throws Exception {
         program = Program.serve(discovery.port(), known, true, null);
@@ -270,7 +265,7 @@
                 program.printed.toString());
     }
 
-    /** SIGHUP while the program starts: the settings of the file as it is then count, and so does its discovery. */
+    /** SIGHUP while the program starts: the settings and the discovery of the changed file take effect. */
     @Test
     void hangUpDuringTheStartIsNotLost() throws Exception {
         try (Discovery next = new Discovery(known)) {
