Test input behind a malformed message, and a rest that a busy loop has not seen

Two more cases of the mend of pipelining: bytes that were read before the error in front of them was found must not run as a command, and a message whose rest was read must not time out while the event loop is busy.

--- a/src/test/java/mintstair/front/PipeliningTest.java
+++ b/src/test/java/mintstair/front/PipeliningTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import mintstair.program.Program;
 import mintstair.standin.Client;
 import org.junit.jupiter.api.AfterEach;
@@ -168,6 +169,42 @@
         }
     }
 
+    /** Guards against garbage that is run as a command, as it was read before the error in front of it was found. */
+    @Test
+    void inputThatWasReadBehindAMalformedMessageIsNotRun() throws IOException {
+        try (Client.Pg client = clientWithWriteInFlight()) {
+            Program.await(() -> front.unprocessedBytes.get() == 0, "the loop to be idle");
+            CountDownLatch blocked = blockLoop();
+            client.raw(new byte[] {'?', 0, 0, 0, 4});
+            Program.await(() -> front.unprocessedBytes.get() > 0, "the malformed message to be read");
+            long malformed = front.unprocessedBytes.get();
+            client.raw(writeQuery("garbage"));
+            Program.await(() -> front.unprocessedBytes.get() > malformed, "the input behind it to be read");
+            blocked.countDown();
+            replyToLastAttempt("w");
+            assertEquals("served w", client.answer());
+            assertErrorAndEnd(client);
+        }
+        assertEquals(1, onLoop(backend.attempts::size));
+    }
+
+    /** Guards against a time-out of a message that is complete, but that a busy loop has not processed yet. */
+    @Test
+    void messageWhoseRestWasReadIsNotOverdue() throws IOException {
+        byte[] query = Client.Pg.query("");
+        try (Client.Pg client = new Client.Pg(port)) {
+            client.raw(Arrays.copyOf(query, 2));
+            Program.await(() -> heldBytes() == 2, "the first bytes");
+            CountDownLatch blocked = blockLoop();
+            // The check of timeouts that is due now runs before the rest of the message is processed.
+            awaitReadTimeout();
+            client.raw(Arrays.copyOfRange(query, 2, query.length));
+            Program.await(() -> front.unprocessedBytes.get() > 0, "the rest to be read");
+            blocked.countDown();
+            assertEquals("empty", client.answer());
+        }
+    }
+
     /** Guards against commands that a connection loses, queued or in the kernel's buffer, when it is drained. */
     @Test
     void commandsSentBeforeADrainAreAllAnswered() throws Exception {
