Count what was read as pending while reading is paused

Cause, by a histogram of the heap: 8,000 queued commands, 160 KB a client. The event loop decides on the pause and the network thread carries it out; what the loop had processed meanwhile counted as consumed, so that 64 KiB more were read of each client.

Change: while reading is paused, what was read before stays pending, so that the network thread stops by itself; once 4 MiB are pending for all clients of a front it stops at 8 KiB each (a limit that ReadThrottle had and clients did not use).

The tests of fronts, ends and limits passed. No test of the suite forces it.

--- a/src/main/java/mintstair/front/SessionInput.java
+++ b/src/main/java/mintstair/front/SessionInput.java
@@ -23,6 +23,10 @@
 final class SessionInput {
     /** Limit on the bytes read and not yet processed; above it, input stays in the socket buffer of the kernel. */
     private static final int MAX_UNPROCESSED_BYTES = 64 * 1024;
+    /** The same limit while the clients of the front together exceed the limit below. */
+    private static final int MAX_UNPROCESSED_BYTES_WHEN_FULL = 8 * 1024;
+
+    private static final long MAX_TOTAL_UNPROCESSED_BYTES = 4L * 1024 * 1024;
 
     private static final int FINAL_READ_BYTES = 4 * 1024;
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
@@ -45,6 +49,8 @@
     private volatile int discardedBytes;
     /** The number of {@link #reads} that the event loop has processed; used by the event loop only. */
     private int processedReads;
+    /** The bytes that the event loop has processed, but that still count as pending; used by the event loop only. */
+    private int unconsumedBytes;
     /** Whether the event loop has paused reading; used by the event loop only. */
     private boolean paused;
     /** Whether reading was ever paused, so that the client's close may be behind unread input; as above. */
@@ -59,7 +65,11 @@
         this.loop = front.loop;
         this.handler = handler;
         throttle = new ReadThrottle(
-                connection, MAX_UNPROCESSED_BYTES, MAX_UNPROCESSED_BYTES, front.unprocessedBytes, Long.MAX_VALUE);
+                connection,
+                MAX_UNPROCESSED_BYTES,
+                MAX_UNPROCESSED_BYTES_WHEN_FULL,
+                front.unprocessedBytes,
+                MAX_TOTAL_UNPROCESSED_BYTES);
     }
 
     /** Passes the bytes to the event loop, or discards them; on the network thread. */
@@ -78,11 +88,20 @@
         throttle.bytesRead(length);
         loop.execute(() -> {
             processedReads++;
+            unconsumedBytes += length;
             handler.received(bytes, readAtMicros);
-            throttle.bytesConsumed(length);
+            consumeUnlessPaused();
         });
     }
 
+    /** While reading is paused, what was read before counts as pending: the network thread then stops without delay. */
+    private void consumeUnlessPaused() {
+        if (!paused) {
+            throttle.bytesConsumed(unconsumedBytes);
+            unconsumedBytes = 0;
+        }
+    }
+
     /** Pauses or resumes reading; on the event loop. */
     void setPaused(boolean pause) {
         if (pause == paused) {
@@ -90,6 +109,7 @@
         }
         paused = pause;
         everPaused = true;
+        consumeUnlessPaused();
         long nowMicros = loop.now();
         connection.executeInEventThread(IOEvent.READ, () -> applyPause(pause, nowMicros));
     }
