Name what a session waits for in the terms of the field

Names and comments of InputFlowControl, PipelineBudget and ClientSession alone: isResponsePending in place of a word that the glossary has withdrawn.

--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -166,7 +166,7 @@
     }
 
     private void checkReadAndWriteTimeouts(long nowMicros) {
-        flow.update(isResponseOwed());
+        flow.update(isResponsePending());
         if (flow.checkUnread(nowMicros)) {
             abort(ClientCloseReason.LEFT);
         } else if (writer.isStalled(nowMicros)) {
@@ -219,10 +219,10 @@
     }
 
     private boolean hasNothingInFlight() {
-        return !isResponseOwed() && !commands.hasPartialMessage() && commands.isEmpty();
+        return !isResponsePending() && !commands.hasPartialMessage() && commands.isEmpty();
     }
 
-    private boolean isResponseOwed() {
+    private boolean isResponsePending() {
         return exchange != null || writer.isWriting();
     }
 
@@ -293,11 +293,11 @@
         } catch (ProtocolException e) {
             failProtocol(e.getMessage());
         }
-        flow.update(isResponseOwed());
+        flow.update(isResponsePending());
     }
 
     private boolean canRunCommand() {
-        return state.acceptsInput() && !isResponseOwed() && !commands.isEmpty() && !isDisconnected();
+        return state.acceptsInput() && !isResponsePending() && !commands.isEmpty() && !isDisconnected();
     }
 
     private boolean isDisconnected() {
@@ -325,7 +325,7 @@
 
     /** Sends the final message, or closes the connection, once all responses have been written. */
     private void endIfWritten() {
-        if (state == SessionState.TERMINATING && finalMessage != null && !isResponseOwed()) {
+        if (state == SessionState.TERMINATING && finalMessage != null && !isResponsePending()) {
             byte[] message = finalMessage;
             finalMessage = null;
             write(message);
--- a/src/main/java/mintstair/front/InputFlowControl.java
+++ b/src/main/java/mintstair/front/InputFlowControl.java
@@ -20,13 +20,13 @@
     }
 
     /**
-     * Pauses or resumes reading after a change of the queue, or of the responses that the client is owed.
+     * Pauses or resumes reading after a change of the queue, or of the responses that the client waits for.
      *
-     * @param responseOwed whether a request is in flight or a response is being written
+     * @param responsePending whether a request is in flight or a response is being written
      */
-    void update(boolean responseOwed) {
+    void update(boolean responsePending) {
         budget.add(commands.heldBytesChange());
-        if (responseOwed || !commands.isEmpty()) {
+        if (responsePending || !commands.isEmpty()) {
             budget.stopWaiting(this);
             boolean pause = budget.mustPause(commands.queuedBytes(), input.isPaused());
             input.setPaused(pause && !input.isDiscarding());
--- a/src/main/java/mintstair/front/PipelineBudget.java
+++ b/src/main/java/mintstair/front/PipelineBudget.java
@@ -41,7 +41,7 @@
     }
 
     /**
-     * Whether a client that is owed a response is not to be read now.
+     * Whether a client that waits for a response is not to be read now.
      *
      * @param queuedBytes the size of its queued commands
      * @param paused whether reading is paused already
