Wait until both requests are in flight before the third client comes

Cause: the test did not wait until the requests of its two clients were read. A client that is connected for 20 ms without one counts as idle and is evicted in favor of the third: its request is answered, then its connection ends. The third client is within the limit then, and the loop that waited for its rejection had no end. A stack of the test showed the loop; one more client from outside ended it, after which the second client's connection was closed, as the eviction predicts.

Change: the test waits for two requests in flight; the third client must then be rejected at once, which asks more than the loop did.

--- a/src/test/java/mintstair/serve/FrontLimitsTest.java
+++ b/src/test/java/mintstair/serve/FrontLimitsTest.java
@@ -31,14 +31,10 @@
                 Client.Pg second = new Client.Pg(port())) {
             first.send(true, "id=one,c=write,cluster=1", 3000);
             second.send(true, "id=two,c=write,cluster=1", 3000);
-            String third = "nothing";
-            while (!third.equals("refused 0")) {
-                try (Client.Pg client = new Client.Pg(port(), true)) {
-                    client.socket.setSoTimeout(100);
-                    third = client.answer();
-                } catch (SocketTimeoutException e) {
-                    // The requests of the first two clients have not been read yet.
-                }
+            // A client whose request has not been read counts as idle, and would be evicted in favor of the third one.
+            awaitMetric("in_flight", 2);
+            try (Client.Pg third = new Client.Pg(port(), true)) {
+                assertEquals("refused 0", third.answer());
             }
             assertTrue(first.answer().startsWith("refused "));
             assertTrue(second.answer().startsWith("refused "));
