Review: a former primary whose answers are long is still read as the primary

Cause: an answer with a row over 64 KiB is forwarded in parts. AttemptSender.startStreaming ends the attempt for the router at the first part, with HostReport.NONE, and onEnd drops the report of a streamed answer, so that the role and the position behind the row never reach PrimaryTracker.

Done: a case with one building cut off, whose primaries are given up and say so in each answer; the stand-in host can fall silent and step down, and tells the position of a write only where it ran.

--- a/review/lib-2/Case10.java
+++ b/review/lib-2/Case10.java
@@ -2,23 +2,42 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * An upgrade under load, where sessions are remembered by the proxy: game servers write and read for their players while
- * the new process starts beside the old one, takes over and the old one ends. Each read has to see its session's last
- * write that was answered before the read was sent.
+ * The building of a proxy is cut off, with the primaries of its groups. These are given up by their groups, say from then
+ * on that they are replicas, and their data stands still. No bounded read may be sent to one that has said so, once its
+ * data is older than the bound. Values are longer than 64 KiB.
  */
 final class Case10 {
-    private static final int SESSIONS = 40;
+    private static final int GROUPS = 5;
+    private static final int HOSTS_OF_GROUP = 3;
+    /** Game servers of each group but the last, and lobby services of the last; each sends some 2.5 requests a second. */
+    private static final int GAME_SERVERS = 4;
+
+    private static final int LOBBY_SERVICES = 5;
+    private static final int LOBBY_READ = 99;
+
+    private static final String VALUE = "x".repeat(Integer.getInteger("value", 100_000));
+    private static final long WARM_UP_MILLIS = 5_000;
+    private static final long GIVEN_UP_AFTER_MILLIS = 2_000;
+    private static final long CUT_MILLIS = 8_000;
+    /** What an answer tells counts as known 0.1 s after it was written; 50 ms of slack, 50 ms for a slow machine. */
+    private static final long KNOWN_AFTER_MILLIS = 200;
+    /** The bound of lobby-read, 50 ms of slack, 50 ms for a slow machine. */
+    private static final long TOO_OLD_MILLIS = 300;
 
     private final Rig rig;
     private final int listen;
-    private final AtomicInteger writes = new AtomicInteger();
-    private final AtomicInteger reads = new AtomicInteger();
-    private final AtomicInteger stale = new AtomicInteger();
     private final AtomicInteger ids = new AtomicInteger();
+    private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger stale = new AtomicInteger();
+    private final Map<String, String> staleReads = new ConcurrentHashMap<>();
+    private final Map<String, Long> commits = new ConcurrentHashMap<>();
     private volatile boolean stop;
 
     private Case10(Rig rig, int listen) {
@@ -26,160 +45,125 @@
         this.listen = listen;
     }
 
-    /** The connections of one game server, of which the next request may use any. */
-    private final class Pool {
-        private final Pg.Client[] connections = new Pg.Client[2];
-        private final Random random;
-
-        Pool(long seed) {
-            random = new Random(seed);
-        }
-
-        /** A request on a connection that ended before it was read is sent once more, on a new connection. */
-        Pg.Answer ask(String statement) throws IOException, InterruptedException {
-            int index = random.nextInt(connections.length);
-            for (int attempt = 0; attempt < 2; attempt++) {
-                if (connections[index] == null) {
-                    connections[index] = connect();
-                }
-                if (connections[index] == null) {
-                    break;
-                }
-                Pg.Answer answer = connections[index].ask(statement, 3000);
-                if (!answer.kind().equals("connection ended")) {
-                    return answer;
-                }
-                connections[index].close();
-                connections[index] = null;
-            }
-            return new Pg.Answer("connection ended", "", 0);
-        }
-
-        private Pg.Client connect() throws InterruptedException {
-            for (int attempt = 0; attempt < 20; attempt++) {
-                try {
-                    return new Pg.Client(listen);
-                } catch (IOException e) {
-                    Thread.sleep(20);
-                }
-            }
-            return null;
+    /** A host's work on a query that has come in whole. */
+    private String serve(Pg.Host host, String id, String statement) throws InterruptedException {
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        if (statement.startsWith("INSERT")) {
+            Thread.sleep(99 + random.nextInt(72));
+            commits.put(id, System.currentTimeMillis());
+            return "ok";
         }
-
-        /** Now and then a game server gives a connection up, and opens another when it needs one. */
-        void maybeLetGo() throws IOException {
-            int index = random.nextInt(connections.length);
-            if (random.nextInt(4) == 0 && connections[index] != null) {
-                connections[index].close();
-                connections[index] = null;
-            }
+        long now = System.currentTimeMillis();
+        boolean primary = host.primary;
+        long age = primary ? 0 : now - host.positionMillis();
+        long told = host.copyToldMillis;
+        rig.note(host.name + " gets " + id + (primary ? " as primary" : " as replica, data " + age + " ms old"));
+        boolean known = told > 0 && now - told > KNOWN_AFTER_MILLIS;
+        if (statement.contains("c=lobby-read") && known && age > TOO_OLD_MILLIS) {
+            staleReads.put(id, id + " read " + host.name + ", whose data was " + age + " ms old, " + (now - told)
+                    + " ms after it had told that it is a replica");
         }
+        Thread.sleep(statement.contains("c=season-report") ? 990 + random.nextInt(710) : 39 + random.nextInt(30));
+        return VALUE;
     }
 
-    private void play(int number) {
-        Pool pool = new Pool(number);
-        Random random = new Random(1000 + number);
-        String session = String.format("%016x", 0x7f3a9c21L * (number + 1));
-        int last = 0;
-        try {
-            for (int n = 1; !stop; n++) {
-                String value = String.format("%08x", n);
-                String writeId = "w" + ids.incrementAndGet();
-                Pg.Answer write = pool.ask("INSERT INTO entries (ref, payload) VALUES ('" + session + "', '" + value
-                        + "') RETURNING payload /* id=" + writeId + ",c=move-write,d=2000,cluster=1 */");
-                if (write.kind().equals("served")) {
-                    last = n;
-                    writes.incrementAndGet();
-                }
-                rig.note("session " + number + " write " + writeId + " = " + value + ": " + write.kind());
-                Thread.sleep(100 + random.nextInt(200));
-                pool.maybeLetGo();
-                for (int r = 0; r < 2 && !stop; r++) {
-                    String readId = "r" + ids.incrementAndGet();
-                    Pg.Answer read = pool.ask("SELECT payload FROM entries WHERE ref = '" + session + "' /* id=" + readId
-                            + ",c=own-move-read,d=750,cluster=1 */");
-                    rig.note("session " + number + " read " + readId + " sees " + read.value() + ": " + read.kind());
-                    if (read.kind().equals("served")) {
-                        reads.incrementAndGet();
-                        int seen = read.value().equals("none") ? 0 : Integer.parseInt(read.value(), 16);
-                        if (seen < last) {
-                            stale.incrementAndGet();
-                            rig.note("STALE session " + number + " read " + readId + " sees " + seen + " after " + last
-                                    + " was answered");
-                        }
+    private void play(int group) {
+        Random random = new Random();
+        String session = String.format("%016x", random.nextLong());
+        long committed = 0;
+        Pg.Client client = null;
+        while (!stop) {
+            try {
+                Thread.sleep(200 + random.nextInt(400));
+                client = client == null ? new Pg.Client(listen) : client;
+                String id = "q" + ids.incrementAndGet();
+                int draw = group == GROUPS ? LOBBY_READ : random.nextInt(100);
+                Pg.Answer answer = client.ask(statement(draw, session, id, group, committed), 16_000);
+                rig.note("client gets for " + id + ": " + answer.kind());
+                if (answer.kind().equals("served")) {
+                    served.incrementAndGet();
+                    committed = commits.getOrDefault(id, committed);
+                    String seen = staleReads.get(id);
+                    if (seen != null) {
+                        stale.incrementAndGet();
+                        rig.note("STALE " + seen);
                     }
-                    Thread.sleep(50 + random.nextInt(100));
+                } else if (!answer.kind().equals("refused")) {
+                    client.close();
+                    client = null;
                 }
+            } catch (IOException e) {
+                rig.note("client: " + e);
+                client = null;
+            } catch (InterruptedException e) {
+                return;
             }
-        } catch (IOException | InterruptedException e) {
-            rig.note("session " + number + " ends: " + e);
         }
     }
 
-    private void report() {
-        Pool pool = new Pool(99);
-        try {
-            while (!stop) {
-                Pg.Answer answer = pool.ask("SELECT payload FROM entries WHERE ref = 'season' /* id=s" + ids.incrementAndGet()
-                        + ",c=season-report,d=15000,cluster=1 */");
-                rig.note("season-report: " + answer.kind());
-                Thread.sleep(300);
-            }
-        } catch (IOException | InterruptedException e) {
-            rig.note("reports end: " + e);
+    /**
+     * The statement of a game server. With the lobby services' reads, the shares of the classes over all groups are those of
+     * the brief: 44% lobby-read, 41% own-move-read, 2% season-report, 13% move-write.
+     */
+    private static String statement(int draw, String session, String id, int group, long committed) {
+        if (draw < 17) {
+            return "INSERT INTO entries (ref, payload) VALUES ('" + session + "', '01') RETURNING payload /* id=" + id
+                    + ",c=move-write,d=2000,cluster=" + group + " */";
         }
+        String names = draw < 20
+                ? ",c=season-report,d=15000,cluster=" + group
+                : draw < 74
+                        ? ",c=own-move-read,d=750,cluster=" + group + ",after=" + committed
+                        : ",c=lobby-read,d=1000,cluster=" + group;
+        return "SELECT payload FROM entries WHERE ref = '" + session + "' /* id=" + id + names + " */";
     }
 
     public static void main(String[] args) throws Exception {
         Rig rig = new Rig(args[0]);
-        Replicated group = new Replicated(rig, 2);
-        Discovery discovery = new Discovery(group.targets());
         int listen = Rig.freePort();
         int control = Rig.freePort();
-        String known = Rig.list(1, group.targets());
+        Case10 play = new Case10(rig, listen);
+        List<Pg.Host> primaries = new ArrayList<>();
+        List<Pg.Host> elsewhere = new ArrayList<>();
+        List<String> targets = new ArrayList<>();
+        for (int group = 1; group <= GROUPS; group++) {
+            for (int i = 0; i < HOSTS_OF_GROUP; i++) {
+                Pg.Host host = new Pg.Host("db-" + group + "-" + i, i == 0, play::serve);
+                host.lagMillis = i == 0 ? 0 : 10;
+                (i == 0 ? primaries : elsewhere).add(host);
+                targets.add(Rig.target(host.name, host.port, group, "SERVING", i == 0));
+            }
+        }
+        String all = String.join(",", targets);
+        Discovery discovery = new Discovery(all);
         Path config = rig.write(
-                "config.json", rig.config("n0", listen, control, discovery.port, known, Rig.settings(1, "remembered")));
-        Rig.Proxy old = rig.start("old", config, control, null);
-        if (!old.awaitReady(20_000)) {
+                "config.json", rig.config("n0", listen, control, discovery.port, Rig.list(1, all), Rig.settings(3)));
+        Rig.Proxy proxy = rig.start("n0", config, control, null);
+        if (!proxy.awaitReady(20_000)) {
             Rig.end(rig, 2, "the program was not ready");
         }
-        Case10 play = new Case10(rig, listen);
-        List<Thread> threads = new ArrayList<>();
-        for (int i = 0; i < SESSIONS; i++) {
-            int number = i;
-            threads.add(new Thread(() -> play.play(number)));
+        for (int group = 1; group <= GROUPS; group++) {
+            int number = group;
+            for (int i = 0; i < (group == GROUPS ? LOBBY_SERVICES : GAME_SERVERS); i++) {
+                Rig.daemon(() -> play.play(number));
+            }
         }
-        threads.add(new Thread(play::report));
-        threads.forEach(thread -> {
-            thread.setDaemon(true);
-            thread.start();
-        });
-        Thread.sleep(5000);
-        int staleBefore = play.stale.get();
+        Thread.sleep(WARM_UP_MILLIS);
         if (Rig.TROUBLE) {
-            int nextControl = Rig.freePort();
-            Path nextConfig = rig.write(
-                    "config-new.json",
-                    rig.config("n0", listen, nextControl, discovery.port, known, Rig.settings(1, "remembered")));
-            Rig.Proxy successor = rig.start("new", nextConfig, nextControl, null);
-            if (!successor.awaitReady(6_000)) {
-                Rig.end(rig, 2, "the new process was not ready within 6 s");
-            }
-            Thread.sleep(1000);
-            old.signal("TERM");
-            old.process.waitFor();
-            rig.note("old has ended with status " + old.process.exitValue());
-            Thread.sleep(3000);
-        } else {
-            Thread.sleep(10_000);
+            rig.note("the building is cut off");
+            elsewhere.forEach(host -> host.silent = true);
         }
-        play.stop = true;
-        for (Thread thread : threads) {
-            thread.join(20_000);
+        Thread.sleep(GIVEN_UP_AFTER_MILLIS);
+        if (Rig.TROUBLE) {
+            rig.note("the groups give up their primaries");
+            primaries.forEach(Pg.Host::stepDown);
         }
-        String counts = play.writes + " writes and " + play.reads + " reads served, " + play.stale + " reads older than their"
-                + " session's last answered write, " + staleBefore + " of them before the upgrade";
-        if (play.reads.get() < 200) {
+        Thread.sleep(CUT_MILLIS - GIVEN_UP_AFTER_MILLIS);
+        play.stop = true;
+        Thread.sleep(500);
+        String counts = play.served + " requests served, " + play.stale + " of them bounded reads of a host that had told that it"
+                + " is a replica, from data older than the bound";
+        if (play.served.get() < 100) {
             Rig.end(rig, 2, counts);
         }
         Rig.end(rig, play.stale.get() > 0 ? 1 : 0, counts);
--- a/review/lib-2/Pg.java
+++ b/review/lib-2/Pg.java
@@ -142,23 +142,34 @@
         /** The age of the data of a replica, in milliseconds. */
         volatile long lagMillis;
 
-        private int holds;
-        private long heldSinceMillis;
+        /** Whether the host is cut off from the proxy: what comes in stays unanswered. */
+        volatile boolean silent;
+        /** When it first told the proxy that it is a replica; 0 before. */
+        volatile long copyToldMillis;
+
+        /** Where the data of a former primary stands still; 0 if it does not. */
+        private long stoppedAtMillis;
         private final ServerSocket server;
         private final Handler handler;
 
         /** The time up to which the host has applied all commits: that of a primary is the present. */
         synchronized long positionMillis() {
-            return (holds > 0 ? heldSinceMillis : System.currentTimeMillis()) - (primary ? 0 : lagMillis);
+            if (!primary && stoppedAtMillis > 0) {
+                return stoppedAtMillis;
+            }
+            return System.currentTimeMillis() - (primary ? 0 : lagMillis);
         }
 
-        /** Has the host apply nothing until as many calls of {@link #release} have come. */
-        synchronized void hold() {
-            heldSinceMillis = holds++ == 0 ? System.currentTimeMillis() : heldSinceMillis;
+        /** Gives up the role of the primary, and gets no log from its successor. */
+        synchronized void stepDown() {
+            stoppedAtMillis = System.currentTimeMillis();
+            primary = false;
         }
 
-        synchronized void release() {
-            holds--;
+        private void awaitHeard() throws InterruptedException {
+            while (silent) {
+                Thread.sleep(20);
+            }
         }
 
         Host(String name, boolean primary, Handler handler) throws IOException {
@@ -192,10 +203,12 @@
             DataInputStream in = new DataInputStream(new java.io.BufferedInputStream(socket.getInputStream()));
             OutputStream out = socket.getOutputStream();
             in.readNBytes(in.readInt() - 4);
+            awaitHeard();
             out.write(Client.concat(message('R', int32(0)), READY));
             for (int type = in.read(); type == 'Q'; type = in.read()) {
                 byte[] query = Rig.readFully(in, in.readInt() - 4);
                 String statement = new String(query, 0, query.length - 1, StandardCharsets.ISO_8859_1);
+                awaitHeard();
                 if (statement.equals("SHOW vitals")) {
                     String report = "x0=" + positionMillis() / 1e3 + ",x1=" + (primary ? 1 : 0)
                             + ",inflight=0,util=0.1";
@@ -217,13 +230,22 @@
                     if (value == null) {
                         return;
                     }
-                    answer = row(value.getBytes(StandardCharsets.ISO_8859_1));
+                    if (write) {
+                        position = positionMillis();
+                    }
+                    answer = write && !primary
+                            ? message('E', text("SERROR"), text("CXX000"), text("Mno primary any more"), new byte[1])
+                            : row(value.getBytes(StandardCharsets.ISO_8859_1));
                 }
+                boolean source = primary;
                 out.write(Client.concat(
                         answer,
-                        message('S', text("rank"), text(primary ? "source" : "copy")),
-                        message('S', text("as_of"), text(Long.toString(write ? System.currentTimeMillis() : position))),
+                        message('S', text("rank"), text(source ? "source" : "copy")),
+                        message('S', text("as_of"), text(Long.toString(position))),
                         READY));
+                if (!source && copyToldMillis == 0) {
+                    copyToldMillis = System.currentTimeMillis();
+                }
             }
         }
 
--- a/review/lib-2/Rig.java
+++ b/review/lib-2/Rig.java
@@ -182,17 +182,13 @@
     }
 
     static String settings(int balancers) {
-        return settings(balancers, "carried");
-    }
-
-    static String settings(int balancers, String sessionMarks) {
         return "{\"balancers\":" + balancers + ",\"position\":0,\"locality\":\"here\",\"zones\":[\"here\"],\"discovery\":\"automatic\",\"classes\":["
                 + "{\"name\":\"lobby-read\",\"repeat\":\"idempotent\",\"sloS\":0.3,\"deadlineS\":1.0,\"worth\":1.0,\"lateValue\":0.2},"
                 + "{\"name\":\"own-move-read\",\"repeat\":\"idempotent\",\"sloS\":0.3,\"deadlineS\":0.75,\"worth\":3.0,\"lateValue\":0.0},"
                 + "{\"name\":\"season-report\",\"repeat\":\"idempotent\",\"sloS\":7.5,\"deadlineS\":15.0,\"worth\":4.0,\"lateValue\":0.2},"
                 + "{\"name\":\"move-write\",\"repeat\":\"at_most_once\",\"sloS\":1.0,\"deadlineS\":2.0,\"worth\":3.0,\"lateValue\":0.3}],"
                 + "\"familyInfo\":{\"classBoundS\":[0.2,0.0,0.0,0.0],\"consistency\":[\"bounded\",\"session\",\"any\",\"write\"],"
-                + "\"listRole\":\"late\",\"serverChecks\":\"none\",\"sessionMarks\":\"" + sessionMarks + "\",\"tellsPosition\":true},"
+                + "\"listRole\":\"late\",\"serverChecks\":\"none\",\"sessionMarks\":\"carried\",\"tellsPosition\":true},"
                 + "\"limits\":{\"maxAttempts\":8,\"cancelling\":true,\"probing\":true,\"secondCopies\":true,\"retryAfter\":true,"
                 + "\"maxRetryAfterS\":2.0,\"connectTimeoutS\":0.25,\"connIdleS\":15.0},"
                 + "\"invariants\":{\"coldFrom\":0.24,\"drainGraceS\":1.0,\"fallMultiple\":3.0,\"fallS\":1.5,\"warmAfterS\":15.0},"
