Use what a host reports at the end of a reply of over 64 KiB

AttemptSender ended the attempt for the router at the first part with no report, and dropped the report at the end, where rank and as_of are sent. Ruled out: that the report is learnt and not acted on (short replies of the same hosts held), and that health checks alone are at fault (short replies need none).

Change: the router hears of the first part (ReplyStarted: the attempt's end, as before) and of the end of the reply (ReplyEnded: role, position, commit of a write). The end may be read seconds after it was sent, so it is dated by the first part, or a replica's own position where that is later; late positions of a primary never lower the estimate of the hosts' clock. A reply that breaks off has its host checked. PositionReports and SessionCommits were taken out of AttemptObserver, as both observers need them.

--- a/src/main/java/mintstair/decision/EndpointDirectory.java
+++ b/src/main/java/mintstair/decision/EndpointDirectory.java
@@ -145,6 +145,11 @@
         return endpoints.get(name);
     }
 
+    /** Returns whether this is still the endpoint of its name: it has neither expired nor moved to another replica set. */
+    boolean contains(Endpoint endpoint) {
+        return endpoints.get(endpoint.name) == endpoint;
+    }
+
     /** Returns all endpoints, in the order in which they were first listed. */
     Collection<Endpoint> endpoints() {
         return endpoints.values();
--- a/src/main/java/mintstair/decision/EndpointSelector.java
+++ b/src/main/java/mintstair/decision/EndpointSelector.java
@@ -77,7 +77,7 @@
         if (endpoint.isPrimary() || recent) {
             return slowStartBudget.hasCredit(now, endpoint) ? endpoint : null;
         }
-        healthChecker.checkSticky(now, endpoint);
+        healthChecker.checkUnlessJustChecked(now, endpoint);
         return null;
     }
 
--- a/src/main/java/mintstair/decision/HealthChecker.java
+++ b/src/main/java/mintstair/decision/HealthChecker.java
@@ -1,6 +1,7 @@
 package mintstair.decision;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Random;
 import java.util.function.Supplier;
@@ -103,8 +104,19 @@
         return interval < MAX_PERIODIC_INTERVAL_MICROS;
     }
 
-    /** Polls the endpoint if its periodic poll is due. */
-    void checkIfDue(long now, Endpoint endpoint, long interval) {
+    /** Polls the endpoints whose periodic poll is due; returns whether there are periodic polls at all. */
+    boolean checkPeriodically(long now, Collection<Endpoint> endpoints) {
+        long interval = interval(now, endpoints.size());
+        if (!isPeriodic(interval)) {
+            return false;
+        }
+        for (Endpoint endpoint : endpoints) {
+            checkIfDue(now, endpoint, interval);
+        }
+        return true;
+    }
+
+    private void checkIfDue(long now, Endpoint endpoint, long interval) {
         HealthCheckState state = endpoint.healthCheck;
         long reportedAt = endpoint.replication.reportedAt;
         long due = reportedAt > 0 ? Math.max(state.dueAt, reportedAt + interval) : state.dueAt;
@@ -115,8 +127,11 @@
         sendCheck(now, endpoint);
     }
 
-    /** Polls the only endpoint that can serve a request, unless it was polled just before. */
-    void checkSticky(long now, Endpoint endpoint) {
+    /**
+     * Polls an endpoint of which something must be known now, unless it was polled just before: the only one that can
+     * serve a request, or one whose reply broke off.
+     */
+    void checkUnlessJustChecked(long now, Endpoint endpoint) {
         boolean due = now - endpoint.healthCheck.sentAt >= ON_DEMAND_WAIT_MICROS;
         if (settings.get().limits().healthChecks() && !endpoint.healthCheck.inFlight && due) {
             sendCheck(now, endpoint);
--- a/src/main/java/mintstair/decision/PositionClock.java
+++ b/src/main/java/mintstair/decision/PositionClock.java
@@ -24,7 +24,7 @@
      */
     private static final long MAX_REPORT_AGE_MICROS = 2_000_000;
     /** The assumed age of the newest report of a primary while the local clock is behind. */
-    private static final long ASSUMED_REPORT_AGE_MICROS = 100_000;
+    static final long ASSUMED_REPORT_AGE_MICROS = 100_000;
     /** An offset above the median by more than this is due to the clock of a single host. */
     private static final long MAX_DEVIATION_MICROS = 1_000_000;
 
@@ -61,6 +61,17 @@
         return Math.abs(startOffset - startOffsetBefore) > MAX_DEVIATION_MICROS;
     }
 
+    /**
+     * Records a position that a primary reported at an unknown time before now. It shows only that the clock of
+     * positions is ahead by no less than the difference; how much the report is too old for more is not known.
+     *
+     * @return whether start times must be evaluated again
+     */
+    boolean primaryReportedEarlier(int replicaSet, long now, long position) {
+        Long before = evidence.get(replicaSet);
+        return before != null && position - now > before && primaryReported(replicaSet, now, position);
+    }
+
     private static int oneIfAhead(long ahead) {
         return ahead > TOLERANCE_MICROS ? 1 : 0;
     }
--- a/src/main/java/mintstair/decision/ReadWriteSplitter.java
+++ b/src/main/java/mintstair/decision/ReadWriteSplitter.java
@@ -46,6 +46,7 @@
     private final RetryPolicy retries;
     private final LoadFeedback load;
     private final AttemptObserver observer;
+    private final StreamedReplyObserver streams;
     private final OpenRequests requests;
     private RouterSettings settings;
 
@@ -89,19 +90,12 @@
         retries = new RetryPolicy(this::settings, pooledLimits);
         requests = new OpenRequests(this::settings, retries, actions);
         load = new LoadFeedback(clock, replicas, requestWork, answerLoss);
-        observer = new AttemptObserver(
-                this::settings,
-                clock,
-                positions,
-                directory,
-                failureDetector,
-                primaries,
-                replication,
-                freshness,
-                load,
-                throughput,
-                tokens,
-                actions);
+        PositionReports reports =
+                new PositionReports(this::settings, positions, replication, freshness, directory, actions);
+        SessionCommits commits = new SessionCommits(positions, tokens);
+        observer =
+                new AttemptObserver(clock, positions, failureDetector, primaries, reports, load, throughput, commits);
+        streams = new StreamedReplyObserver(positions, directory, primaries, reports, commits, healthChecker);
         subscription.start(settings);
     }
 
@@ -240,6 +234,24 @@
         servePending(now, endpoint.replicaSet);
     }
 
+    @Override
+    public void onReplyStarted(long at, AttemptResult result) {
+        InFlightRequest request = requests.get(result.id());
+        if (request != null && request.isOutstanding(result.attempt())) {
+            streams.replyStarted(clock.advance(at), request, result.attempt());
+        }
+        onAttemptEnded(at, result);
+    }
+
+    @Override
+    public void onReplyEnded(long at, StreamedReplyResult result) {
+        long now = clock.advance(at);
+        ReplicaSet replicaSet = streams.replyEnded(now, result);
+        if (replicaSet != null) {
+            servePending(now, replicaSet);
+        }
+    }
+
     private void retry(long now, InFlightRequest request, AttemptResult result) {
         AttemptOutcome outcome = result.outcome();
         if (!outcome.hadNoEffect()) {
@@ -331,7 +343,9 @@
 
     private void tick(long now) {
         slowStarts.logEnded(now);
-        sendPeriodicChecks(now);
+        if (healthChecker.checkPeriodically(now, directory.endpoints())) {
+            ticks.schedule(now, now + TickTimer.INTERVAL_MICROS);
+        }
         double replyTimeout = classes.replyTimeout();
         for (InFlightRequest request : requests.all()) {
             if (!request.isFinished() && request.outstanding() > 0) {
@@ -346,16 +360,6 @@
         }
     }
 
-    private void sendPeriodicChecks(long now) {
-        long interval = healthChecker.interval(now, directory.endpoints().size());
-        if (HealthChecker.isPeriodic(interval)) {
-            for (Endpoint endpoint : directory.endpoints()) {
-                healthChecker.checkIfDue(now, endpoint, interval);
-            }
-            ticks.schedule(now, now + TickTimer.INTERVAL_MICROS);
-        }
-    }
-
     private void checkLastAttempt(long now, InFlightRequest request, double replyTimeout) {
         Endpoint endpoint = request.lastEndpoint();
         failureDetector.checkForMissedReplies(now, endpoint, replyTimeout);
@@ -392,8 +396,4 @@
             requests.cancelAttempts(request);
         }
     }
-
-    /** Ignores messages of peers: each router decides on its own, because messages may be lost. */
-    @Override
-    public void onPeerMessage(long now, int from, String text) {}
 }
--- a/src/main/java/mintstair/decision/Router.java
+++ b/src/main/java/mintstair/decision/Router.java
@@ -19,6 +19,15 @@
     /** An attempt has ended. */
     void onAttemptEnded(long now, AttemptResult result);
 
+    /**
+     * The first part of a reply has arrived that is forwarded while it arrives. For the request this is the end of the
+     * attempt, with success; exactly one {@link #onReplyEnded} follows for the reply itself.
+     */
+    void onReplyStarted(long now, AttemptResult result);
+
+    /** A reply that was forwarded while it arrived has ended, completely or not. */
+    void onReplyEnded(long now, StreamedReplyResult result);
+
     /** The client of a request has disconnected; no response is due any more. */
     void onClientDisconnected(long now, long id);
 
@@ -37,6 +46,6 @@
      */
     int unavailableEndpoints(long now);
 
-    /** A message of another router has arrived. */
-    void onPeerMessage(long now, int from, String text);
+    /** A message of another router has arrived. It is ignored: each router decides on its own, as messages get lost. */
+    default void onPeerMessage(long now, int from, String text) {}
 }
--- a/src/main/java/mintstair/proxy/AttemptSender.java
+++ b/src/main/java/mintstair/proxy/AttemptSender.java
@@ -151,7 +151,10 @@
             // The host has executed the request. How fast the client reads the response neither indicates the health of
             // the host nor uses its capacity.
             long nowMicros = loop.now();
-            reportEnded(nowMicros, action, ConnectionEnd.SERVED, nowMicros - sentAtMicros, true, HostReport.NONE);
+            driver.handle(
+                    nowMicros,
+                    new RouterEvent.ReplyStarted(
+                            action.request(), action.attempt(), action.host(), nowMicros - sentAtMicros));
         }
 
         @Override
@@ -169,8 +172,9 @@
             if (over) {
                 requests.close(request);
             }
-            if (!streamed) {
-                // The end of a streamed attempt was already reported when its first part arrived.
+            if (streamed) {
+                driver.handle(nowMicros, new RouterEvent.ReplyEnded(action.request(), reply.end(), reply.report()));
+            } else {
                 boolean requestOver = over || request.isStreaming();
                 reportEnded(nowMicros, action, reply.end(), nowMicros - sentAtMicros, requestOver, reply.report());
             }
--- a/src/main/java/mintstair/routing/DecisionMapper.java
+++ b/src/main/java/mintstair/routing/DecisionMapper.java
@@ -10,6 +10,7 @@
 import mintstair.decision.Positions;
 import mintstair.decision.ReplicationStatus;
 import mintstair.decision.RoutingRequest;
+import mintstair.decision.StreamedReplyResult;
 import mintstair.request.ConnectionEnd;
 import mintstair.request.EndpointList;
 import mintstair.request.HostReport;
@@ -50,6 +51,30 @@
                 event.report().commitPosition());
     }
 
+    /** Returns the result of an attempt of whose reply only the first part is known. */
+    static AttemptResult result(RouterEvent.ReplyStarted event) {
+        return new AttemptResult(
+                event.request(),
+                event.attempt(),
+                event.host(),
+                AttemptOutcome.SUCCESS,
+                event.latencyMicros(),
+                true,
+                ReplicationRole.UNKNOWN,
+                Positions.UNKNOWN,
+                Positions.UNKNOWN);
+    }
+
+    static StreamedReplyResult result(RouterEvent.ReplyEnded event) {
+        HostReport report = event.report();
+        return new StreamedReplyResult(
+                event.request(),
+                outcome(event.end()),
+                report.role(),
+                report.appliedPosition(),
+                report.commitPosition());
+    }
+
     /** Returns the replication status that a host reported, or null if it reported no role. */
     static ReplicationStatus status(HostReport report) {
         if (report.role() == ReplicationRole.UNKNOWN) {
--- a/src/main/java/mintstair/routing/RequestRouter.java
+++ b/src/main/java/mintstair/routing/RequestRouter.java
@@ -148,6 +148,21 @@
             attempts.removeIfDone(event.request());
         }
 
+        @Override
+        public void replyStarted(long nowMicros, RouterEvent.ReplyStarted event) {
+            if (!attempts.attemptEnded(event.request(), true)) {
+                return;
+            }
+            monitor.attemptEnded(event.request(), event.attempt(), true);
+            router.onReplyStarted(nowMicros, DecisionMapper.result(event));
+            attempts.removeIfDone(event.request());
+        }
+
+        @Override
+        public void replyEnded(long nowMicros, RouterEvent.ReplyEnded event) {
+            router.onReplyEnded(nowMicros, DecisionMapper.result(event));
+        }
+
         @Override
         public void healthCheckEnded(long nowMicros, RouterEvent.HealthCheckEnded event) {
             router.onHealthCheckEnded(
--- a/src/main/java/mintstair/routing/RouterEvent.java
+++ b/src/main/java/mintstair/routing/RouterEvent.java
@@ -14,6 +14,12 @@
         /** Handles the end of an attempt. */
         void attemptEnded(long nowMicros, AttemptEnded event);
 
+        /** Handles the first part of a streamed reply. */
+        void replyStarted(long nowMicros, ReplyStarted event);
+
+        /** Handles the end of a streamed reply. */
+        void replyEnded(long nowMicros, ReplyEnded event);
+
         /** Handles the end of a health check. */
         void healthCheckEnded(long nowMicros, HealthCheckEnded event);
 
@@ -53,6 +59,36 @@
         }
     }
 
+    /**
+     * Reports that the first part of a streamed reply has arrived. It ends the attempt, and is followed by exactly one
+     * {@link ReplyEnded}.
+     *
+     * @param request the number of the request
+     * @param attempt the number of the attempt within its request, from 0
+     * @param host the name of the host that the attempt was routed to
+     * @param latencyMicros the time from sending the attempt to the first part
+     */
+    record ReplyStarted(long request, int attempt, String host, long latencyMicros) implements RouterEvent {
+        @Override
+        public void accept(long nowMicros, Visitor visitor) {
+            visitor.replyStarted(nowMicros, this);
+        }
+    }
+
+    /**
+     * Reports that a streamed reply ended.
+     *
+     * @param request the number of the request
+     * @param end how the reply ended
+     * @param report what the host reported about itself at the end of the reply
+     */
+    record ReplyEnded(long request, ConnectionEnd end, HostReport report) implements RouterEvent {
+        @Override
+        public void accept(long nowMicros, Visitor visitor) {
+            visitor.replyEnded(nowMicros, this);
+        }
+    }
+
     /**
      * Reports that a health check ended.
      *
--- a/src/test/java/mintstair/decision/ClockSkewTest.java
+++ b/src/test/java/mintstair/decision/ClockSkewTest.java
@@ -90,6 +90,24 @@
         assertEquals(Set.of("p"), hostsOfReads(100, RouterFixture.BOUNDED_READ, 2 * SECOND, 2 * SECOND));
     }
 
+    /** A report that is read 3 s after it was made would make the clock seem 3 s less behind. */
+    @Test
+    void lateReportOfAPrimaryCausesNoStaleReadsWhenTheClockIsBehind() {
+        start(HOUR, 2 * SECOND);
+        fixture.sendRequest(1_000, RouterFixture.NON_IDEMPOTENT_WRITE);
+        RouterFixture.SentAttempt sent = fixture.lastAttempt();
+        fixture.startReply(sent, 0);
+        long position = fixture.now + HOUR;
+        fixture.now += 3 * SECOND;
+        for (String replica : List.of("r1", "r2", "r3")) {
+            fixture.answerHealthCheck(replica, fixture.now + HOUR - 2 * SECOND, ReplicationRole.REPLICA);
+        }
+        fixture.endReply(sent, AttemptOutcome.SUCCESS, ReplicationRole.PRIMARY, position);
+        fixture.sendRequest(1, RouterFixture.BOUNDED_READ);
+        assertEquals("p", fixture.lastAttempt().host());
+        assertEquals(1, fixture.lastAttempt().requestId());
+    }
+
     /**
      * The positions of the primary reveal the error of the clock, so that replicas with little lag are still
      * recognized.
--- a/src/test/java/mintstair/decision/RouterFixture.java
+++ b/src/test/java/mintstair/decision/RouterFixture.java
@@ -293,6 +293,27 @@
         endAttempt(sent, attempt, outcome, role, Positions.UNKNOWN);
     }
 
+    /** Delivers the first part of a streamed reply to an attempt. */
+    void startReply(SentAttempt sent, int attempt) {
+        router.onReplyStarted(
+                now,
+                new AttemptResult(
+                        sent.requestId,
+                        attempt,
+                        sent.host,
+                        AttemptOutcome.SUCCESS,
+                        now - sent.sentAt,
+                        true,
+                        ReplicationRole.UNKNOWN,
+                        Positions.UNKNOWN,
+                        Positions.UNKNOWN));
+    }
+
+    /** Delivers the end of a streamed reply with the role and the exact position that the host reported. */
+    void endReply(SentAttempt sent, AttemptOutcome outcome, ReplicationRole role, long position) {
+        router.onReplyEnded(now, new StreamedReplyResult(sent.requestId, outcome, role, position, position));
+    }
+
     /** Advances the clock in ticks of 20 ms, and delivers no event other than the tick timer. */
     void advance(long duration) {
         for (long end = now + duration; now < end; ) {
--- a/src/test/java/mintstair/decision/SessionPositionTest.java
+++ b/src/test/java/mintstair/decision/SessionPositionTest.java
@@ -134,4 +134,29 @@
         write(ANSWERED_AT - HOUR - 300 * MS);
         assertRequired(ANSWERED_AT - HOUR + 700 * MS - 1);
     }
+
+    /** Guards against counting a write with a long reply as committed at the first part: it is so at the end only. */
+    @Test
+    void commitOfAWriteWithALongReplyIsKnownAtItsEnd() {
+        start(0);
+        fixture.sendRequest(2, RouterFixture.NON_IDEMPOTENT_WRITE);
+        fixture.now = ANSWERED_AT;
+        fixture.startReply(fixture.lastAttempt(), 0);
+        fixture.now += 800 * MS;
+        long commit = ANSWERED_AT + 700 * MS;
+        fixture.endReply(fixture.lastAttempt(), AttemptOutcome.SUCCESS, ReplicationRole.PRIMARY, commit);
+        assertRequired(commit);
+    }
+
+    /** The host reports no position: the commit is no later than the end of the reply. */
+    @Test
+    void commitOfAWriteWithALongReplyWithoutAPositionIsNotBeforeItsEnd() {
+        start(0);
+        fixture.sendRequest(2, RouterFixture.NON_IDEMPOTENT_WRITE);
+        fixture.now = ANSWERED_AT;
+        fixture.startReply(fixture.lastAttempt(), 0);
+        fixture.now += 800 * MS;
+        fixture.endReply(fixture.lastAttempt(), AttemptOutcome.SUCCESS, ReplicationRole.PRIMARY, Positions.UNKNOWN);
+        assertRequired(ANSWERED_AT + 800 * MS + TOLERANCE);
+    }
 }
--- a/src/test/java/mintstair/standin/ManualHost.java
+++ b/src/test/java/mintstair/standin/ManualHost.java
@@ -71,16 +71,26 @@
 
     /** Returns the reply of a primary with this value. */
     public static byte[] reply(String value) {
-        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
-        return new PgWriter()
-                .message('T', '\0', '\1', "payload", 0, '\0', '\0', 17, '\0', '\4', -1, '\0', '\1')
-                .message('D', '\0', '\1', bytes.length, bytes)
+        return reply(value, "source");
+    }
+
+    /** Returns a reply with this value of a host that reports this rank. */
+    public static byte[] reply(String value, String rank) {
+        return row(value)
                 .message('C', "SELECT 1")
-                .message('S', "rank", "source")
+                .message('S', "rank", rank)
                 .ready()
                 .bytes();
     }
 
+    /** Returns the beginning of a reply: the description and the row with this value. */
+    public static PgWriter row(String value) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        return new PgWriter()
+                .message('T', '\0', '\1', "payload", 0, '\0', '\0', 17, '\0', '\4', -1, '\0', '\1')
+                .message('D', '\0', '\1', bytes.length, bytes);
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
--- a/src/test/java/mintstair/wire/ParsersTest.java
+++ b/src/test/java/mintstair/wire/ParsersTest.java
@@ -33,6 +33,7 @@
 import org.bson.BsonArray;
 import org.bson.BsonDocument;
 import org.bson.BsonInt32;
+import org.bson.BsonString;
 
 /**
  * Tests each framer and parser with valid messages that arrive in pieces, and with damaged ones. The input is random,
@@ -327,4 +328,20 @@
         message.put(30, (byte) (message.get(30) + 1));
         assertThrows(ProtocolException.class, () -> MongoMessage.parse(message.array()));
     }
+
+    /** Replies of MongoDB hosts are held until they are complete, however long, so their reports come with them. */
+    @Example
+    void longReplyOfAMongoHostIsOneMessageWithItsReport() {
+        Protocol.Parser parser = new MongoProtocol().newParser();
+        byte[] request = MongoMessage.opMsg(BsonDocument.parse("{find: 'e', $db: 'd'}"), 0);
+        parser.requestSent(request);
+        BsonDocument body = BsonDocument.parse("{ok: 1, isWritablePrimary: false}")
+                .append("value", new BsonString("x".repeat(100_000)));
+        Framer framer = new MongoFramer();
+        framer.feed(ByteBuffer.wrap(MongoMessage.opMsg(body, MongoMessage.requestId(request))));
+        HostReply reply = parser.parse(framer.next());
+        assertNull(parser.pollPart());
+        assertEquals(ConnectionEnd.SERVED, reply.end());
+        assertEquals(ReplicationRole.REPLICA, reply.report().role());
+    }
 }
