Let a new process join the fleet once its predecessor has left

The new process ended with status 2, "Address already in use".

Cause: as with the store, two processes of one configuration run at a time, and the new one bound at its start what only one can have, the member's port.

Change: beside a predecessor a port in use postpones the joining (FleetParticipation); it is tried until the predecessor has left. Until then the fleet size is unsettled, so that the process uses its guaranteed part of the shared limits. Addresses of another machine, and ports in use without a predecessor, end the start as before.

--- a/src/main/java/mintstair/serve/ProxyStartup.java
+++ b/src/main/java/mintstair/serve/ProxyStartup.java
@@ -13,6 +13,7 @@
 import mintstair.control.ControlServer;
 import mintstair.proxy.EventLoop;
 import mintstair.request.EndpointList;
+import mintstair.routing.RouterEvent;
 import mintstair.stats.MetricsSnapshot;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
@@ -64,7 +65,7 @@
         ConfigurationReloader reloader =
                 new ConfigurationReloader(loop, services, config, !usesRegistry(RegistryConfig.POSTGRESQL));
         RegistryService registry = startRegistry(services, reloader);
-        MembershipService membership = joinFleet(services);
+        FleetParticipation membership = joinFleet(services, hasPredecessor);
         reloadSignal.onReload(() -> reloader.reloadFile(file));
         metricsPublisher(services, registry, membership, recording).start();
         loop.at(loop.now() + UPGRADE_OVERLAP_MICROS, () -> setMaxClients(services, budget.clients()));
@@ -165,20 +166,23 @@
         return registry;
     }
 
-    /** Joins the fleet; returns null if none is configured or the process is terminating. */
-    private MembershipService joinFleet(ProtocolServices services) throws IOException {
+    /** Joins the fleet, at once or after a predecessor has left it; returns null if none is configured. */
+    private FleetParticipation joinFleet(ProtocolServices services, boolean hasPredecessor) throws IOException {
         if (operator.membership() == null) {
             return null;
         }
-        AtomicReference<MembershipService> joined = new AtomicReference<>();
-        shutdown.unlessTerminating(() -> {
-            MembershipService membership = SocketRetry.retry(() -> newMembership(services));
-            joined.set(membership);
-            shutdown.leaveOnExit(membership);
-            commands.setMembers(membership::lines);
-            membership.start();
-        });
-        return joined.get();
+        int configuredSize = config.settings().fleetSize;
+        RouterEvent.FleetSizeChanged unsettled =
+                new RouterEvent.FleetSizeChanged(configuredSize, configuredSize, false);
+        FleetParticipation participation = new FleetParticipation(
+                shutdown,
+                commands,
+                () -> newMembership(services),
+                () -> loop.execute(() -> services.forEach(service -> service.onFleetSize(unsettled))));
+        // An address of another machine never becomes free.
+        participation.join(
+                hasPredecessor && LocalAddresses.isLocal(operator.membership().listen()));
+        return participation;
     }
 
     private MembershipService newMembership(ProtocolServices services) throws IOException {
@@ -194,7 +198,7 @@
     private MetricsPublisher metricsPublisher(
             ProtocolServices services,
             RegistryService registry,
-            MembershipService membership,
+            FleetParticipation membership,
             TrafficRecording recording) {
         List<MetricsPublisher.Source> sources = new ArrayList<>();
         services.forEach(service -> sources.add(service::addTo));
