Keep the recording of the old process at an upgrade

What operators saw: with a recording into a single file, an upgrade lost what the old process had recorded, and both processes wrote into one file.

Cause: the file is begun anew at each start, also while a predecessor has it open. Rotated files were looked at: each process writes its own.

Change: beside a predecessor its file is renamed first, and it goes on writing there.

Measured on arm64: RecordingUpgradeTest failed on (the old process's recording was gone) and passes, as does ProgramTest.

--- a/src/main/java/mintstair/serve/PcapRecording.java
+++ b/src/main/java/mintstair/serve/PcapRecording.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import mintstair.config.OperatorConfig;
 import mintstair.pcap.PcapWriter;
 import mintstair.proxy.EventLoop;
@@ -18,12 +20,39 @@
     private final PcapWriter file;
     private boolean hasFailed;
 
-    PcapRecording(EventLoop loop, OperatorConfig.RecordingConfig config) throws IOException {
+    private PcapRecording(EventLoop loop, OperatorConfig.RecordingConfig config) throws IOException {
         this.loop = loop;
         file = new PcapWriter(config.file(), config.maxBytes());
         loop.at(loop.now(), this::flushPeriodically);
     }
 
+    /**
+     * Starts a recording. The file of an earlier run is replaced; that of a predecessor, which still writes it, is kept
+     * under another name.
+     */
+    static PcapRecording create(EventLoop loop, OperatorConfig.RecordingConfig config, boolean hasPredecessor)
+            throws IOException {
+        if (hasPredecessor && Files.exists(config.file())) {
+            Path kept = unusedSibling(config.file());
+            Files.move(config.file(), kept);
+            System.out.println("recording: the predecessor's file is now " + kept);
+        }
+        return new PcapRecording(loop, config);
+    }
+
+    /** Returns the path with the first number behind it that no file has. */
+    private static Path unusedSibling(Path file) {
+        int number = 1;
+        while (Files.exists(numbered(file, number))) {
+            number++;
+        }
+        return numbered(file, number);
+    }
+
+    private static Path numbered(Path file, int number) {
+        return file.resolveSibling(file.getFileName() + "." + number);
+    }
+
     /** A write to the file. */
     private interface Write {
         void run(long nowMicros) throws IOException;
--- a/src/main/java/mintstair/serve/ProxyStartup.java
+++ b/src/main/java/mintstair/serve/ProxyStartup.java
@@ -57,8 +57,8 @@
         SocketRetry.awaitSockets();
         listenForControl();
         transport.start();
-        TrafficRecording recording = TrafficRecording.open(loop, operator.record(), config.seed());
         boolean hasPredecessor = ListeningSockets.countAt(config.listen()) > 0;
+        TrafficRecording recording = TrafficRecording.open(loop, operator.record(), config.seed(), hasPredecessor);
         DescriptorBudget budget = descriptorBudget();
         ProtocolServices services = startServices(hasPredecessor ? budget.besidePredecessor() : budget);
         StoreService store = openStore(services, hasPredecessor);
--- a/src/main/java/mintstair/serve/TrafficRecording.java
+++ b/src/main/java/mintstair/serve/TrafficRecording.java
@@ -37,13 +37,16 @@
      *
      * @param config null if nothing is recorded
      * @param seed the seed of the random sample of connections
+     * @param hasPredecessor whether another process with the same configuration may still write its files
      */
-    static TrafficRecording open(EventLoop loop, OperatorConfig.RecordingConfig config, long seed) throws IOException {
+    static TrafficRecording open(
+            EventLoop loop, OperatorConfig.RecordingConfig config, long seed, boolean hasPredecessor)
+            throws IOException {
         if (config == null) {
             return NONE;
         }
         return config.rotated() == null
-                ? new PcapRecording(loop, config)
+                ? PcapRecording.create(loop, config, hasPredecessor)
                 : new RotatedRecording(loop, config.rotated(), seed);
     }
 
