--- a/src/main/java/mintstair/registry/SnapshotFile.java
+++ b/src/main/java/mintstair/registry/SnapshotFile.java
@@ -6,24 +6,22 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.zip.CRC32C;
+import mintstair.files.AtomicFile;
 import mintstair.registry.view.RegistryEntry;
 import mintstair.registry.view.Snapshot;
 
 /**
  * A file that stores the last complete view of a registry. It consists of a magic number, the format version, the
- * length and the CRC-32C of the content, and the content. A new version is written to a second file in the same
- * directory, forced to disk and renamed over the old one, so that a crash at any point leaves either the old or the new
- * version. A file that is not valid is moved aside and never used in part. Not thread-safe.
+ * length and the CRC-32C of the content, and the content. It is replaced as a whole, also while another process does
+ * so. A file that is not valid is moved aside and never used in part. Not thread-safe.
  */
 public final class SnapshotFile {
     private static final byte[] MAGIC = "mintstair registry\n".getBytes(StandardCharsets.US_ASCII);
@@ -45,20 +43,7 @@
      * @throws IOException if the file cannot be written, or its directory cannot be forced to disk
      */
     public void write(Snapshot snapshot) throws IOException {
-        ByteBuffer content = encode(snapshot);
-        Path newFile = sibling(".new");
-        try (FileChannel out = FileChannel.open(
-                newFile, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
-            while (content.hasRemaining()) {
-                out.write(content);
-            }
-            out.force(true);
-        }
-        Files.move(newFile, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        // The rename is durable only after the directory has been forced to disk.
-        try (FileChannel directory = FileChannel.open(file.toAbsolutePath().getParent())) {
-            directory.force(true);
-        }
+        AtomicFile.replace(file, encode(snapshot));
     }
 
     /**
--- a/src/test/java/mintstair/registry/SnapshotFileTest.java
+++ b/src/test/java/mintstair/registry/SnapshotFileTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import mintstair.files.AtomicFile;
 import mintstair.program.Program;
 import mintstair.registry.view.RegistryEntry;
 import mintstair.registry.view.Snapshot;
@@ -139,10 +140,29 @@
         }
     }
 
-    /** Kills a writer once its new file has at least the given number of bytes, before it replaces the old file. */
-    private void killWriterAfter(long bytes) throws Exception {
+    /**
+     * The two processes of an upgrade write the same file. Guards against a file of which each has written a part, and
+     * against a writer that fails because the other one has renamed its file.
+     */
+    @Test
+    void fileIsCompleteWhileTwoProcessesWriteIt() throws Exception {
+        Process first = startWriter();
+        Process second = startWriter();
+        try {
+            Program.await(() -> Files.exists(path), "the first snapshot");
+            for (int i = 0; i < 300; i++) {
+                assertNotNull(file.read(PREFIX));
+            }
+            assertTrue(first.isAlive() && second.isAlive(), "both go on writing");
+        } finally {
+            first.destroyForcibly().waitFor();
+            second.destroyForcibly().waitFor();
+        }
+    }
+
+    private Process startWriter() throws IOException {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        Process writer = new ProcessBuilder(
+        return new ProcessBuilder(
                         java,
                         "-XX:+UseSerialGC",
                         "-XX:TieredStopAtLevel=1",
@@ -152,7 +172,12 @@
                         path.toString())
                 .redirectErrorStream(true)
                 .start();
-        Path newFile = folder.resolve("s.new");
+    }
+
+    /** Kills a writer once its new file has at least the given number of bytes, before it replaces the old file. */
+    private void killWriterAfter(long bytes) throws Exception {
+        Process writer = startWriter();
+        Path newFile = AtomicFile.temporary(path, writer.pid());
         Program.await(() -> Files.exists(path) && sizeOf(newFile) >= bytes, "a partly written file");
         writer.destroyForcibly().waitFor();
     }
