Wait for the metrics that describe an update in the Consul failure test

Cause: the registry's client passes updates to its listener and publishes its metrics after that, so a test that has waited for an update may read the metrics of the step before. The client's order stays: metrics tell the age of what the listener has, so they may not come first. Line 136 of the test was wrong; it waits for the count to be above 0 now and still demands that it is 1.

--- a/src/test/java/mintstair/registry/TransportFailureTest.java
+++ b/src/test/java/mintstair/registry/TransportFailureTest.java
@@ -133,6 +133,8 @@
                 server.noLeader = false;
             }
 
+            // Metrics are published after the listener has received the updates that they describe.
+            await(() -> client.count("set_back") > 0, "the metrics of the last update");
             assertEquals(1, client.count("set_back"));
             assertEquals(-1, client.version("gone"));
         }
