--- a/src/main/java/mintstair/serve/StoreService.java
+++ b/src/main/java/mintstair/serve/StoreService.java
@@ -49,6 +49,8 @@
     private final CompletableFuture<String> firstRead;
     /** The log index from which on the own member's list counts; confined to the read thread. */
     private long agreedIndex = Long.MAX_VALUE;
+    /** Whether it was logged that the member has stopped; confined to the read thread. */
+    private boolean hasMemberStopped;
     /** The list that was applied last, as text; written before the first task that reads it periodically. */
     private String lastHosts = "";
     /** Why the member could not be taken over at the last attempt; confined to the write thread. */
@@ -161,11 +163,20 @@
         if (store.isMember() && store.hasApplied(agreedIndex)) {
             return store.getLocal(HOSTS_KEY);
         }
+        logIfMemberStopped(store);
         Store.Reading reading = store.read(HOSTS_KEY);
         agreedIndex = reading.commitIndex();
         return reading.value();
     }
 
+    /** Logs once that the member has failed for good; the list is read from the others until the process is restarted. */
+    private void logIfMemberStopped(Store store) {
+        if (!hasMemberStopped && store.isMember() && !store.isRunning() && store == access.store()) {
+            hasMemberStopped = true;
+            System.err.println("store: this member has stopped; reading the list of hosts from the others");
+        }
+    }
+
     /** Records a changed list and returns it. One that is invalid is ignored, and logged once; null is returned. */
     private EndpointList changedHosts(String hosts) {
         lastHosts = hosts;
@@ -181,11 +192,7 @@
 
     /** Takes over the predecessor's member if it has released it. Once this process is the member, writes the state. */
     private void takeOver() {
-        try {
-            access.takeOver();
-        } catch (IOException | RuntimeException e) {
-            logTakeOverFailure(StoreAccess.reason(e));
-        }
+        new GuardedTask("store", this::tryTakeOver).run();
         if (access.isMember()) {
             schedule(writeExecutor, this::writeState, WRITE_INTERVAL);
         } else if (!writeExecutor.isShutdown()) {
@@ -193,11 +200,16 @@
         }
     }
 
-    private void logTakeOverFailure(String reason) {
-        if (!reason.equals(lastFailure)) {
-            System.err.println("store: could not take over the member: " + reason + "; trying again");
+    private void tryTakeOver() {
+        try {
+            access.takeOver();
+        } catch (IOException | RuntimeException e) {
+            String reason = StoreAccess.reason(e);
+            if (!reason.equals(lastFailure)) {
+                System.err.println("store: could not take over the member: " + reason + "; trying again");
+            }
+            lastFailure = reason;
         }
-        lastFailure = reason;
     }
 
     /** Writes the state while this process is the member. */
--- a/src/main/java/mintstair/store/KeyValueStateMachine.java
+++ b/src/main/java/mintstair/store/KeyValueStateMachine.java
@@ -18,6 +18,7 @@
 import org.apache.ratis.statemachine.impl.BaseStateMachine;
 import org.apache.ratis.statemachine.impl.SimpleStateMachineStorage;
 import org.apache.ratis.statemachine.impl.SingleFileSnapshotInfo;
+import org.apache.ratis.util.LifeCycle;
 
 /**
  * The replicated state of a member: keys and values, which only committed log entries change. Thread-safe, because
@@ -32,16 +33,25 @@
     @Override
     public void initialize(RaftServer server, RaftGroupId group, RaftStorage raftStorage) throws IOException {
         super.initialize(server, group, raftStorage);
-        StoreSnapshot.quarantineIncomplete(
-                raftStorage.getStorageDir().getStateMachineDir().toPath());
-        storage.init(raftStorage);
-        load(storage.getLatestSnapshot());
+        getLifeCycle().startAndTransition(() -> {
+            StoreSnapshot.quarantineIncomplete(
+                    raftStorage.getStorageDir().getStateMachineDir().toPath());
+            storage.init(raftStorage);
+            load(storage.getLatestSnapshot());
+        });
     }
 
-    /** Loads the latest snapshot; called by Ratis after it has received one from the leader. */
+    /** Prepares for the installation of a snapshot; Ratis requires the state machine to be paused during it. */
+    @Override
+    public void pause() {
+        getLifeCycle().transition(LifeCycle.State.PAUSING);
+        getLifeCycle().transition(LifeCycle.State.PAUSED);
+    }
+
+    /** Loads the snapshot that Ratis has received from the leader, and continues after {@link #pause}. */
     @Override
     public void reinitialize() throws IOException {
-        load(storage.getLatestSnapshot());
+        getLifeCycle().startAndTransition(() -> load(storage.loadLatestSnapshot()));
     }
 
     @Override
--- a/src/main/java/mintstair/store/Store.java
+++ b/src/main/java/mintstair/store/Store.java
@@ -253,9 +253,22 @@
         return server != null;
     }
 
-    /** Returns whether this member has applied the log up to this index. */
+    /**
+     * Returns whether this member follows the group. One that has failed in a way that it cannot recover from does not,
+     * and its values no longer change.
+     */
+    public boolean isRunning() {
+        try {
+            return server.getDivision(GROUP_ID).getInfo().isAlive();
+        } catch (IOException e) {
+            // The member has been closed.
+            return false;
+        }
+    }
+
+    /** Returns whether this member follows the group and has applied the log up to this index. */
     public boolean hasApplied(long index) throws IOException {
-        return server.getDivision(GROUP_ID).getInfo().getLastAppliedIndex() >= index;
+        return isRunning() && server.getDivision(GROUP_ID).getInfo().getLastAppliedIndex() >= index;
     }
 
     /** Returns this member's value of the key, which may be outdated; null if there is no such key. */
--- a/src/test/java/mintstair/program/StoreUpgradeTest.java
+++ b/src/test/java/mintstair/program/StoreUpgradeTest.java
@@ -190,6 +190,10 @@
         put(agreedList);
         assertServesAgreedListOnly(drainingRequests);
         assertTrue(successor.process.isAlive());
+        for (Program program : List.of(predecessor, successor)) {
+            assertEquals(List.of(), program.lines("store: unexpected"));
+            assertEquals(List.of(), program.lines("store: this member has stopped"));
+        }
     }
 
     @Test
--- a/src/test/java/mintstair/store/StoreTest.java
+++ b/src/test/java/mintstair/store/StoreTest.java
@@ -1,6 +1,7 @@
 package mintstair.store;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -11,6 +12,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,6 +28,9 @@
 
 /** Tests a group of three members on the loopback interface. */
 class StoreTest {
+    private static final int PURGE_WRITE_CHARS = 20_000;
+    private static final int MAX_PURGE_WRITES = 6_000;
+
     @TempDir
     private Path directory;
 
@@ -142,6 +147,19 @@
         assertEquals("two", late.getLocal("config/a"));
     }
 
+    /** Guards against the values of a member that has failed being taken for those of the group forever. */
+    @Test
+    void valuesOfAMemberThatHasStoppedDoNotCount() throws IOException {
+        running.get("n1").put("config/a", "one");
+        awaitLocal("n3", "config/a", "one");
+        Store stopped = running.get("n3");
+        assertTrue(stopped.isRunning() && stopped.hasApplied(0));
+        stop("n3");
+        assertEquals("one", stopped.getLocal("config/a"));
+        assertFalse(stopped.isRunning());
+        assertFalse(stopped.hasApplied(0));
+    }
+
     private static boolean hasApplied(Store member, long index) {
         try {
             return member.hasApplied(index);
@@ -158,6 +176,66 @@
         }
     }
 
+    /**
+     * The log has been let go, so a new leader sends the member its snapshot. Guards against a member that stops for
+     * good when it installs one.
+     */
+    @Test
+    void memberThatStartsFromNothingInstallsTheSnapshotOfANewLeader() throws IOException {
+        restartFromNothingAfterPurge();
+        stop(awaitLeader());
+        awaitLocal("n3", "config/a", "one");
+
+        Store writer = running.values().iterator().next();
+        writer.put("config/a", "two");
+        awaitLocal("n3", "config/a", "two");
+    }
+
+    /** The leader remembers what the member had before, and has to notice that it has nothing any more. */
+    @Test
+    void memberThatStartsFromNothingInstallsTheSnapshotOfTheSameLeader() throws IOException {
+        restartFromNothingAfterPurge();
+        awaitLocal("n3", "config/a", "one");
+    }
+
+    /** Empties the directory of a member that is not the leader, once the group no longer has the first entries. */
+    private void restartFromNothingAfterPurge() throws IOException {
+        if (awaitLeader().equals("n3")) {
+            stop("n3");
+            start("n3");
+        }
+        running.get("n1").put("config/a", "one");
+        putUntilLogIsPurged();
+        stop("n3");
+        deleteRecursively(directory.resolve("n3"));
+        start("n3");
+    }
+
+    /** Writes until the first segment of the leader's log, which ends after some entries, has been deleted. */
+    private void putUntilLogIsPurged() throws IOException {
+        Path log = directory.resolve(awaitLeader());
+        Store writer = running.get("n1");
+        for (int i = 0; i < MAX_PURGE_WRITES && hasFirstSegment(log); i++) {
+            writer.put("state/" + i % 3, "x".repeat(PURGE_WRITE_CHARS));
+        }
+        assertFalse(hasFirstSegment(log), "the log has been let go");
+    }
+
+    private static boolean hasFirstSegment(Path member) throws IOException {
+        try (Stream<Path> files = Files.walk(member)) {
+            return files.map(file -> file.getFileName().toString())
+                    .anyMatch(name -> name.startsWith("log_0-") || name.equals("log_inprogress_0"));
+        }
+    }
+
+    private static void deleteRecursively(Path root) throws IOException {
+        try (Stream<Path> files = Files.walk(root)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
     @Test
     void minorityRejectsWritesAndKeepsItsEntries() throws IOException {
         running.get("n1").put("state/n1", "up");
