Wait for the metrics of the last update in the etcd failure test too

Cause: the race of the Consul test beside it. Metrics are published after the listener has received the updates, and the age that the test waits for may be that of a view confirmed less than 0.3 s before the failure.

Change: the test waits until the metrics have the new cluster's number, and demands the same values as before.

--- a/src/test/java/mintstair/registry/TransportFailureTest.java
+++ b/src/test/java/mintstair/registry/TransportFailureTest.java
@@ -62,6 +62,8 @@
                 await(() -> client.metrics().ageMicros() < 300_000, "a confirmed view after failure " + kind);
             }
 
+            // Metrics are published after the listener has received the updates that they describe.
+            await(() -> client.metrics().clusterId() == OTHER_CLUSTER_ID, "the metrics of the last update");
             assertEquals(-1, client.version("h9"), "h9 was deleted before the compaction");
             assertEquals(7000, client.version("h8"));
             assertEquals(1, client.count("compacted"));
