Bound the heap that the requests of clients take, on both fronts together

The heap was exhausted and tasks of the loop lost.

Cause: PipelineBudget counted what was queued. It counted neither the buffers of incomplete messages, which double and stayed large where the next message had begun in them, nor requests in flight, which the MongoDB front held decoded twice: a message of 97 KiB with 4,000 pieces takes 775 kB once decoded (measured).

Nearly empty buffers are replaced. Decoded commands are held once. The request in flight of a session is a class of its own.

Tests: PipelinedClientsTest.largeWritesOfHundredsOfClients... and MongoFrontTest.writesToAPrimaryThatHangs... failed before ("Read timed out"; a find answered with an error). PipeliningTest counts the same bytes by the budget's new names.

--- a/src/main/java/mintstair/front/ClientSession.java
+++ b/src/main/java/mintstair/front/ClientSession.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
-import mintstair.request.Exchange;
 import mintstair.request.ProxyRequest;
 import mintstair.request.Response;
 import mintstair.request.ResponseListener;
@@ -32,6 +31,7 @@
     private final SessionInput input;
     private final CommandQueue commands;
     private final InputFlowControl flow;
+    private final RequestInFlight request;
     private final ResponseWriter writer;
     private SessionState state = SessionState.OPEN;
     /** Set by the thread that detects the end of the connection, as the event loop may be busy. */
@@ -51,7 +51,6 @@
     /** The start of the timeout of the current command. */
     private long commandSinceMicros;
 
-    private Exchange exchange;
     private ClientCloseReason closeReason = ClientCloseReason.LEFT;
     private Recorder.Conversation transcript = Recorder.Conversation.NONE;
 
@@ -60,7 +59,8 @@
         this.connection = connection;
         input = new SessionInput(connection, front, this::received);
         commands = new CommandQueue(framer, front.loop::now);
-        flow = new InputFlowControl(input, commands, front.pipelineBudget);
+        flow = new InputFlowControl(input, commands, front.memoryBudget, front.loop::now);
+        request = new RequestInFlight(front.dispatcher, flow);
         writer = new ResponseWriter(connection, front.transport.getMemoryManager(), front.loop, this::written);
         idleSinceMicros = front.loop.now();
     }
@@ -137,9 +137,7 @@
         flow.release();
         transcript.ended();
         front.remove(this);
-        if (exchange != null) {
-            front.dispatcher.clientDisconnected(exchange);
-        }
+        request.abandon();
     }
 
     /** Sets the reason unless one was set before. */
@@ -188,14 +186,12 @@
         if (nowMicros - endingSinceMicros <= READ_TIMEOUT_MICROS) {
             return;
         }
-        if (exchange == null || writer.isWriting() || finalMessage == null) {
+        if (!request.isPending() || writer.isWriting() || finalMessage == null) {
             abort(ClientCloseReason.NOT_READING);
             return;
         }
         // The final message tells the client that its request gets no response.
-        Exchange abandoned = exchange;
-        exchange = null;
-        front.dispatcher.clientDisconnected(abandoned);
+        request.abandon();
         endingSinceMicros = nowMicros;
         endIfWritten();
     }
@@ -223,12 +219,15 @@
     }
 
     private boolean isResponsePending() {
-        return exchange != null || writer.isWriting();
+        return request.isPending() || writer.isWriting();
     }
 
     /** Ends the session with a final message if it only waits for the rest of an incomplete message. */
     final void endUnfinished() {
-        if (state != SessionState.CLOSED && exchange == null && commands.isEmpty() && commands.hasPartialMessage()) {
+        if (state != SessionState.CLOSED
+                && !request.isPending()
+                && commands.isEmpty()
+                && commands.hasPartialMessage()) {
             setCloseReason(ClientCloseReason.DRAINED);
             terminate(protocolErrorMessage("this proxy is ending, and the message was not finished"));
         }
@@ -287,7 +286,7 @@
                 started = true;
                 idleSinceMicros = front.loop.now();
             }
-            if (state == SessionState.FAILING && exchange == null && commands.isEmpty()) {
+            if (state == SessionState.FAILING && !request.isPending() && commands.isEmpty()) {
                 failProtocol(inputError);
             }
         } catch (ProtocolException e) {
@@ -334,21 +333,21 @@
         }
     }
 
-    /** Submits a request, the only one in flight; {@code onResponse} runs once, unless the client has disconnected. */
-    protected final void submit(ProxyRequest request, Consumer<Response> onResponse) {
+    /**
+     * Submits a request, the only one in flight, or rejects it if there is no room for it in memory. {@code onResponse}
+     * runs once, unless the client has disconnected.
+     *
+     * @param heapBytes the heap that the request takes until its response, in bytes
+     */
+    protected final void submit(ProxyRequest submitted, long heapBytes, Consumer<Response> onResponse) {
         requestSubmitted = true;
         long waitedMicros = Math.max(0, front.loop.now() - commandSinceMicros);
-        PendingResponse pending = new PendingResponse(onResponse);
-        Exchange submitted = front.dispatcher.submit(request, waitedMicros, pending);
-        if (!pending.answered) {
-            exchange = submitted;
-        }
+        request.submit(submitted, heapBytes, waitedMicros, new PendingResponse(onResponse));
     }
 
     /** Receives the response to the request in flight. */
     private final class PendingResponse implements ResponseListener {
         private final Consumer<Response> onResponse;
-        private boolean answered;
 
         PendingResponse(Consumer<Response> onResponse) {
             this.onResponse = onResponse;
@@ -356,8 +355,7 @@
 
         @Override
         public void onResponse(Response response) {
-            answered = true;
-            exchange = null;
+            request.ended();
             onResponse.accept(response);
             runCommands();
         }
@@ -374,7 +372,7 @@
 
         @Override
         public void onResponseAborted() {
-            exchange = null;
+            request.ended();
             // A reset within a message ensures that the client does not take the partial response for a complete one.
             abort(ClientCloseReason.ANSWER_BROKE_OFF);
         }
--- a/src/main/java/mintstair/front/CommandQueue.java
+++ b/src/main/java/mintstair/front/CommandQueue.java
@@ -97,7 +97,7 @@
 
     /** Returns the change of the bytes of heap held by this queue since the last call of this method. */
     int heldBytesChange() {
-        int change = framer.pending() + commandBytes - accountedBytes;
+        int change = framer.heldBytes() + commandBytes - accountedBytes;
         accountedBytes += change;
         return change;
     }
--- a/src/main/java/mintstair/front/Front.java
+++ b/src/main/java/mintstair/front/Front.java
@@ -46,7 +46,7 @@
     /** Bytes of all clients that have been read from the network and not yet processed by the event loop. */
     final AtomicLong unprocessedBytes = new AtomicLong();
 
-    final PipelineBudget pipelineBudget = new PipelineBudget();
+    final ClientMemoryBudget memoryBudget;
 
     private final RequestRules rules;
     private final AtomicInteger openConnections = new AtomicInteger();
@@ -56,11 +56,17 @@
     private Recorder recorder;
 
     protected Front(
-            EventLoop loop, Dispatcher dispatcher, TCPNIOTransport transport, Counters counters, int maxClients) {
+            EventLoop loop,
+            Dispatcher dispatcher,
+            TCPNIOTransport transport,
+            Counters counters,
+            ClientMemoryBudget memoryBudget,
+            int maxClients) {
         this.loop = loop;
         this.dispatcher = dispatcher;
         this.transport = transport;
         this.counters = counters;
+        this.memoryBudget = memoryBudget;
         this.maxClients = maxClients;
         rules = new RequestRules(dispatcher);
         loop.every(TIMEOUT_CHECK_INTERVAL_MICROS, this::checkTimeouts);
--- a/src/main/java/mintstair/front/mongo/MongoFront.java
+++ b/src/main/java/mintstair/front/mongo/MongoFront.java
@@ -1,6 +1,7 @@
 package mintstair.front.mongo;
 
 import java.util.List;
+import mintstair.front.ClientMemoryBudget;
 import mintstair.front.ClientSession;
 import mintstair.front.Front;
 import mintstair.proxy.Dispatcher;
@@ -21,8 +22,13 @@
 
     /** Creates the front; {@code maxClients} limits the client connections. */
     public MongoFront(
-            EventLoop loop, Dispatcher dispatcher, TCPNIOTransport transport, Counters counters, int maxClients) {
-        super(loop, dispatcher, transport, counters, maxClients);
+            EventLoop loop,
+            Dispatcher dispatcher,
+            TCPNIOTransport transport,
+            Counters counters,
+            ClientMemoryBudget memoryBudget,
+            int maxClients) {
+        super(loop, dispatcher, transport, counters, memoryBudget, maxClients);
         cursors = new Cursors(this::killOnHost);
     }
 
--- a/src/main/java/mintstair/front/mongo/MongoSession.java
+++ b/src/main/java/mintstair/front/mongo/MongoSession.java
@@ -63,24 +63,24 @@
             throw new ProtocolException("OP_QUERY is served for hello alone");
         }
         try {
-            dispatch(message, name);
+            dispatch(message, name, bytes.length);
         } catch (ProtocolException e) {
             front.countMalformed();
             reply(message, MongoError.BAD_VALUE.reply(e.getMessage()));
         }
     }
 
-    private void dispatch(MongoMessage message, String name) {
+    private void dispatch(MongoMessage message, String name, int length) {
         switch (name) {
             // The handshake is answered regardless of the flags of the message.
             case "hello", "isMaster", "ismaster" -> write(encode(message, hello(name)));
             case "ping", "endSessions" -> reply(message, ok());
             case "buildInfo", "buildinfo" -> reply(message, buildInfo());
             case "serverStatus" -> reply(message, ok().append("mintstair", counters()));
-            case "find" -> find(message);
-            case "getMore" -> getMore(message);
+            case "find" -> find(message, length);
+            case "getMore" -> getMore(message, length);
             case "killCursors" -> killCursors(message);
-            case "insert", "update", "delete" -> submitWrite(message, name);
+            case "insert", "update", "delete" -> submitWrite(message, name, length);
             default -> {
                 front.countMalformed();
                 reply(message, MongoError.COMMAND_NOT_FOUND.reply("no such command: '" + name + "'"));
@@ -123,41 +123,49 @@
         return hello;
     }
 
-    private void submitWrite(MongoMessage message, String name) {
+    /** Returns the heap that a request in flight takes: its command, and the message to a host. */
+    private static long heapBytes(MongoMessage message, int length) {
+        return BsonHeapSize.of(message.body()) + length;
+    }
+
+    private void submitWrite(MongoMessage message, String name, int length) {
         RequestFields.checkSingleCommand(message.body(), name);
         ProxyRequest request = createRequest(message.body(), true);
-        submit(request, response -> {
+        MongoMessage header = message.withoutBody();
+        submit(request, heapBytes(message, length), response -> {
             if (response instanceof Response.Served served) {
-                reply(message, servedBody(served));
+                reply(header, servedBody(served));
             } else {
-                reply(message, errorBody(response, request, true));
+                reply(header, errorBody(response, request, true));
             }
         });
     }
 
-    private void find(MongoMessage message) {
+    private void find(MongoMessage message, int length) {
         BsonDocument command = message.body();
         RequestFields.checkSingleCommand(command, "find");
         if (command.containsKey("tailable")) {
             throw new ProtocolException("tailable cursors are not served");
         }
         ProxyRequest request = createRequest(command, false);
-        submit(request, response -> {
+        MongoMessage header = message.withoutBody();
+        BsonDocument namespace = RequestFields.namespace(command);
+        submit(request, heapBytes(message, length), response -> {
             if (response instanceof Response.Served served) {
-                reply(message, firstBatch(command, request, served));
+                reply(header, firstBatch(namespace, request, served));
             } else {
-                reply(message, errorBody(response, request, false));
+                reply(header, errorBody(response, request, false));
             }
         });
     }
 
     /** Returns the reply to a find; the id of its cursor is replaced by one that the proxy assigns. */
-    private BsonDocument firstBatch(BsonDocument command, ProxyRequest request, Response.Served served) {
+    private BsonDocument firstBatch(BsonDocument namespace, ProxyRequest request, Response.Served served) {
         BsonDocument body = servedBody(served);
         long hostId = cursorId(body);
         if (hostId != 0) {
-            String database = command.getString("$db").getValue();
-            String collection = command.getString("find").getValue();
+            String database = namespace.getString("$db").getValue();
+            String collection = namespace.getString("find").getValue();
             Cursors.Cursor cursor =
                     front.cursors().register(served.host(), hostId, database, collection, request, front.nowMicros());
             setCursorId(body, cursor.id());
@@ -166,7 +174,7 @@
     }
 
     /** Continues a cursor on its host, which must still satisfy the consistency of the class of its find. */
-    private void getMore(MongoMessage message) {
+    private void getMore(MongoMessage message, int length) {
         BsonDocument command = message.body();
         if (!command.isNumber("getMore")) {
             throw new ProtocolException("getMore needs the id of a cursor");
@@ -179,15 +187,16 @@
         }
         ProxyRequest request = getMoreRequest(cursor, command);
         front.cursors().checkOut(id);
-        submit(request, response -> {
+        MongoMessage header = message.withoutBody();
+        submit(request, heapBytes(message, length), response -> {
             if (response instanceof Response.Served served) {
-                reply(message, nextBatch(cursor, served));
+                reply(header, nextBatch(cursor, served));
                 return;
             }
             // The host is stale or unreachable, or may have advanced the cursor: no next batch can be read from it.
             front.killOnHost(cursor);
             String error = "cursor id " + id + " is no longer recent enough or in reach";
-            reply(message, MongoError.CURSOR_NOT_FOUND.reply(error));
+            reply(header, MongoError.CURSOR_NOT_FOUND.reply(error));
         });
     }
 
--- a/src/main/java/mintstair/front/mongo/MongoStatement.java
+++ b/src/main/java/mintstair/front/mongo/MongoStatement.java
@@ -11,7 +11,7 @@
     private static final String[] CONNECTION_FIELDS = {"lsid", "$clusterTime", "$readPreference", "maxTimeMS"};
 
     MongoStatement(BsonDocument command) {
-        this.command = command.clone();
+        this.command = copy(command);
         for (String field : CONNECTION_FIELDS) {
             this.command.remove(field);
         }
@@ -21,9 +21,16 @@
         }
     }
 
+    /** Returns a document with the same fields, whose values are shared: they may be large, and never change. */
+    private static BsonDocument copy(BsonDocument document) {
+        BsonDocument copy = new BsonDocument();
+        copy.putAll(document);
+        return copy;
+    }
+
     @Override
     public byte[] encode(long timeoutMillis) {
-        BsonDocument body = command.clone();
+        BsonDocument body = copy(command);
         // Hosts reject a time limit on getMore if its find had none.
         if (!body.containsKey("getMore") && !body.containsKey("killCursors")) {
             body.put("maxTimeMS", new BsonInt64(timeoutMillis));
--- a/src/main/java/mintstair/front/mongo/RequestFields.java
+++ b/src/main/java/mintstair/front/mongo/RequestFields.java
@@ -1,6 +1,7 @@
 package mintstair.front.mongo;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import mintstair.front.RequestRules;
 import mintstair.wire.ProtocolException;
@@ -11,6 +12,17 @@
 final class RequestFields {
     private RequestFields() {}
 
+    /** Returns a document with the fields of a find that name its database and collection. */
+    static BsonDocument namespace(BsonDocument find) {
+        BsonDocument namespace = new BsonDocument();
+        for (String field : List.of("$db", "find")) {
+            if (find.containsKey(field)) {
+                namespace.put(field, find.get(field));
+            }
+        }
+        return namespace;
+    }
+
     /** Returns the values of the comment, which is a string as in SQL or a document with the same names. */
     static Map<String, String> comment(BsonDocument command) {
         if (command.isString("comment")) {
--- a/src/main/java/mintstair/front/pg/PgFront.java
+++ b/src/main/java/mintstair/front/pg/PgFront.java
@@ -1,5 +1,6 @@
 package mintstair.front.pg;
 
+import mintstair.front.ClientMemoryBudget;
 import mintstair.front.ClientSession;
 import mintstair.front.Front;
 import mintstair.proxy.Dispatcher;
@@ -12,8 +13,13 @@
 public final class PgFront extends Front {
     /** Creates the front; {@code maxClients} limits the client connections. */
     public PgFront(
-            EventLoop loop, Dispatcher dispatcher, TCPNIOTransport transport, Counters counters, int maxClients) {
-        super(loop, dispatcher, transport, counters, maxClients);
+            EventLoop loop,
+            Dispatcher dispatcher,
+            TCPNIOTransport transport,
+            Counters counters,
+            ClientMemoryBudget memoryBudget,
+            int maxClients) {
+        super(loop, dispatcher, transport, counters, memoryBudget, maxClients);
     }
 
     @Override
--- a/src/main/java/mintstair/front/pg/PgSession.java
+++ b/src/main/java/mintstair/front/pg/PgSession.java
@@ -21,6 +21,9 @@
     private static final int GSS_ENCRYPTION_REQUEST = 80877104;
     private static final int STARTUP_CODE_OFFSET = 4;
 
+    /** The number of times that a request in flight holds its message: as a statement and as encoded for a host. */
+    private static final long COPIES_IN_FLIGHT = 2;
+
     private static final String[] NO_OP_COMMANDS = {"SET", "RESET", "DISCARD"};
 
     private final PgFront front;
@@ -111,7 +114,7 @@
             write(new PgWriter().message('C', noOp).ready().bytes());
             return;
         }
-        submitStatement(text);
+        submitStatement(text, message.length);
     }
 
     private void showCounters() {
@@ -134,7 +137,7 @@
         return null;
     }
 
-    private void submitStatement(String text) {
+    private void submitStatement(String text, int messageLength) {
         ProxyRequest request;
         try {
             request = PgStatement.parse(text, front.rules());
@@ -146,7 +149,7 @@
                     .bytes());
             return;
         }
-        submit(request, response -> write(encode(response)));
+        submit(request, COPIES_IN_FLIGHT * messageLength, response -> write(encode(response)));
     }
 
     private static byte[] encode(Response response) {
--- a/src/main/java/mintstair/proxy/Dispatcher.java
+++ b/src/main/java/mintstair/proxy/Dispatcher.java
@@ -4,7 +4,9 @@
 import mintstair.config.InstanceSettings;
 import mintstair.request.EndpointList;
 import mintstair.request.Exchange;
+import mintstair.request.GiveUpReason;
 import mintstair.request.ProxyRequest;
+import mintstair.request.Response;
 import mintstair.request.ResponseListener;
 import mintstair.request.Statement;
 import mintstair.routing.RequestClasses;
@@ -95,6 +97,15 @@
         return exchange;
     }
 
+    /** Rejects a request without routing it, and returns the response. */
+    public Response reject(ProxyRequest request, GiveUpReason reason) {
+        Response response = new Response.Rejected(0);
+        counters.requestAccepted();
+        counters.requestGivenUp(reason);
+        counters.requestCompleted(request.requestClass(), response);
+        return response;
+    }
+
     /** Abandons the request of a client that has disconnected. Does nothing if the exchange is over. */
     public void clientDisconnected(Exchange exchange) {
         completion.clientDisconnected(exchange);
--- a/src/main/java/mintstair/request/GiveUpReason.java
+++ b/src/main/java/mintstair/request/GiveUpReason.java
@@ -22,5 +22,7 @@
     /** The request is sticky, and the host that holds its cursor cannot accept it. */
     STICKY_HOST,
     /** The process is shutting down. */
-    SHUTDOWN
+    SHUTDOWN,
+    /** The requests in flight take all the memory that they may take. */
+    MEMORY
 }
--- a/src/main/java/mintstair/wire/Framer.java
+++ b/src/main/java/mintstair/wire/Framer.java
@@ -16,8 +16,10 @@
     protected static final int UNKNOWN_LENGTH = -1;
 
     private static final int INITIAL_CAPACITY = 512;
-    /** A larger buffer is replaced by a small one as soon as it is empty. */
+    /** A larger buffer is replaced by a smaller one as soon as it is nearly empty. */
     private static final int MAX_RETAINED_CAPACITY = 64 * 1024;
+    /** A buffer is nearly empty if less than this part of it is in use. */
+    private static final int NEARLY_EMPTY_DIVISOR = 4;
 
     private byte[] buffer = new byte[INITIAL_CAPACITY];
     private int start;
@@ -74,19 +76,32 @@
     private byte[] remove(int length) {
         byte[] message = Arrays.copyOfRange(buffer, start, start + length);
         start += length;
-        if (start == end && buffer.length > MAX_RETAINED_CAPACITY) {
-            buffer = new byte[INITIAL_CAPACITY];
-            start = 0;
-            end = 0;
+        if (buffer.length > MAX_RETAINED_CAPACITY && pending() < buffer.length / NEARLY_EMPTY_DIVISOR) {
+            shrink();
         }
         return message;
     }
 
+    /** Moves the pending bytes, which may be the start of the next message, to a buffer of their size. */
+    private void shrink() {
+        int kept = pending();
+        byte[] smaller = new byte[Math.max(INITIAL_CAPACITY, kept)];
+        System.arraycopy(buffer, start, smaller, 0, kept);
+        buffer = smaller;
+        start = 0;
+        end = kept;
+    }
+
     /** Returns the number of bytes that were fed and not returned yet. */
     public final int pending() {
         return end - start;
     }
 
+    /** Returns the heap that an incomplete message takes, in bytes; 0 if there is none. */
+    public final int heldBytes() {
+        return pending() == 0 ? 0 : Math.max(pending(), buffer.length - INITIAL_CAPACITY);
+    }
+
     /** Discards the bytes that were fed and not returned yet. */
     public final void clear() {
         start = 0;
--- a/src/main/java/mintstair/wire/MongoMessage.java
+++ b/src/main/java/mintstair/wire/MongoMessage.java
@@ -69,6 +69,11 @@
         }
     }
 
+    /** Returns the message without its body, which is enough to reply to it and takes little memory. */
+    public MongoMessage withoutBody() {
+        return new MongoMessage(requestId, responseTo, opCode, flags, new BsonDocument());
+    }
+
     private static MongoMessage parseOpQuery(ByteBuffer in, int requestId, int responseTo) {
         int flags = in.getInt();
         String collection = cString(in);
--- a/src/test/java/mintstair/front/FrontFixture.java
+++ b/src/test/java/mintstair/front/FrontFixture.java
@@ -34,6 +34,7 @@
 /** A PostgreSQL front with one primary, which replies only when a test requests it. */
 abstract class FrontFixture {
     static final int MAX_CLIENTS = 10;
+    static final int MAX_HELD_BYTES = 8 * 1024 * 1024;
     private static final int READ_BUFFER_BYTES = 16 * 1024;
     private static final long READ_TIMEOUT_AND_CHECK_MICROS = 3_000_000;
 
@@ -81,7 +82,13 @@
         EndpointList.Entry primary =
                 new EndpointList.Entry("p", "127.0.0.1:9", "z", 1, EndpointList.State.SERVING, true, 1, 0);
         loop.execute(() -> dispatcher.endpointsUpdated(new EndpointList(1, true, List.of(primary)), false));
-        front = new PgFront(loop, dispatcher, transport, counters, MAX_CLIENTS);
+        front = new PgFront(
+                loop,
+                dispatcher,
+                transport,
+                counters,
+                new ClientMemoryBudget(MAX_HELD_BYTES, MAX_HELD_BYTES),
+                MAX_CLIENTS);
         port = front.listen(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
     }
 
--- a/src/test/java/mintstair/front/PipeliningTest.java
+++ b/src/test/java/mintstair/front/PipeliningTest.java
@@ -59,13 +59,13 @@
     }
 
     private long heldBytes() {
-        return onLoop(front.pipelineBudget::heldBytes);
+        return onLoop(front.memoryBudget::inputBytes);
     }
 
     /** Takes a part of the budget that no client holds, or gives it back. */
     private void addHeldBytes(int bytes) {
         onLoop(() -> {
-            front.pipelineBudget.add(bytes);
+            front.memoryBudget.addInput(loop.now(), bytes);
             return null;
         });
     }
@@ -82,7 +82,7 @@
     }
 
     private void awaitPause() {
-        Program.await(() -> heldBytes() > PipelineBudget.MAX_BYTES / 4, "the queue to be long");
+        Program.await(() -> heldBytes() > MAX_HELD_BYTES / 4, "the queue to be long");
     }
 
     @AfterEach
@@ -117,7 +117,7 @@
             for (int i = 0; i < LARGE_COMMANDS; i++) {
                 assertEquals("failed", client.answer(), "command " + i);
                 long held = heldBytes();
-                assertTrue(held < PipelineBudget.MAX_BYTES + TOLERANCE_BYTES, held + " bytes are held");
+                assertTrue(held < MAX_HELD_BYTES + TOLERANCE_BYTES, held + " bytes are held");
             }
             sent.join();
         }
@@ -128,7 +128,7 @@
     void incompleteMessagesBeyondTheBudgetAreReadOneAfterTheOther() throws IOException {
         byte[] message = Client.Pg.query("x".repeat(250_000));
         Client.Pg[] clients = new Client.Pg[MAX_CLIENTS];
-        addHeldBytes((int) PipelineBudget.MAX_BYTES);
+        addHeldBytes(MAX_HELD_BYTES);
         for (int i = 0; i < clients.length; i++) {
             clients[i] = new Client.Pg(port);
             clients[i].raw(Arrays.copyOf(message, 100_000));
@@ -142,7 +142,7 @@
             assertEquals("empty", client.answer(), "the connection goes on");
             client.close();
         }
-        addHeldBytes((int) -PipelineBudget.MAX_BYTES);
+        addHeldBytes(-MAX_HELD_BYTES);
     }
 
     /** Guards against commands that are dropped because a message behind them is not finished in time. */
@@ -240,14 +240,14 @@
         }
         try (Client.Pg client = clientWithWriteInFlight()) {
             // Fills the rest of the budget, so that the client is not read.
-            addHeldBytes((int) PipelineBudget.MAX_BYTES);
+            addHeldBytes(MAX_HELD_BYTES);
             client.raw(commands.toByteArray());
-            Program.await(() -> heldBytes() > PipelineBudget.MAX_BYTES, "the first bytes to be read");
+            Program.await(() -> heldBytes() > MAX_HELD_BYTES, "the first bytes to be read");
             client.raw(commands.toByteArray());
         }
         replyToLastAttempt("w");
         Program.await(() -> onLoop(() -> front.clients()) == 0, "the close to be noticed");
         assertEquals(1, onLoop(backend.attempts::size));
-        addHeldBytes((int) -PipelineBudget.MAX_BYTES);
+        addHeldBytes(-MAX_HELD_BYTES);
     }
 }
--- a/src/test/java/mintstair/program/MongoFrontTest.java
+++ b/src/test/java/mintstair/program/MongoFrontTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import mintstair.standin.Client;
@@ -27,6 +28,10 @@
 /** The MongoDB front from outside: the program, stand-in hosts, and clients that follow the specification. */
 class MongoFrontTest {
     private static final long AHEAD = System.currentTimeMillis() + 3_600_000;
+    private static final int BOARDS = 120;
+    /** Each takes 24 bytes in a message, and many times that in memory. */
+    private static final int BOARD_PIECES = 4_000;
+
     private MongoHost primary;
     private MongoHost replica;
     private Program program;
@@ -127,6 +132,35 @@
                 1, primary.requestIds.stream().filter("broken"::equals).count(), "what may have run is not resent");
     }
 
+    /** Guards against a heap that documents of many small fields fill while the primary does not reply. */
+    @Test
+    void writesToAPrimaryThatHangsAreAllAnsweredAndOthersAreServed() throws IOException {
+        BsonArray board = new BsonArray();
+        for (int i = 0; i < BOARD_PIECES; i++) {
+            board.add(new BsonDocument("x", new BsonInt32(i % 19)).append("y", new BsonInt32(i / 19 % 19)));
+        }
+        List<Client.Mongo> writers = new ArrayList<>();
+        for (int i = 0; i < BOARDS; i++) {
+            primary.behaviors.put("w" + i, HostBehavior.SILENT);
+            BsonDocument insert = BsonDocument.parse("{insert: 'e', maxTimeMS: 4000, $db: 'orders'}")
+                    .append("documents", new BsonArray(List.of(new BsonDocument("board", board))))
+                    .append("comment", new BsonString("id=w" + i + ",c=write,cluster=1"));
+            Client.Mongo writer = new Client.Mongo(program.port(1));
+            writer.raw(MongoMessage.opMsg(insert, 0));
+            writers.add(writer);
+        }
+        assertEquals(1, client.command(find("r", "")).getNumber("ok").intValue());
+        int rejected = 0;
+        for (Client.Mongo writer : writers) {
+            String answer = writer.answer();
+            assertTrue(answer.equals("failed") || answer.startsWith("refused "), answer);
+            rejected += answer.startsWith("refused ") ? 1 : 0;
+            writer.close();
+        }
+        assertTrue(rejected > 0, "requests beyond the memory for them are rejected");
+        assertEquals(List.of(), program.lines("unexpected"));
+    }
+
     /** Guards against commands that are dropped because too many, or too large ones, were sent at once. */
     @Test
     void commandsSentAtOnceAreAllAnsweredAndAnUnfinishedOneIsAnError() throws IOException {
--- a/src/test/java/mintstair/program/PipelinedClientsTest.java
+++ b/src/test/java/mintstair/program/PipelinedClientsTest.java
@@ -21,10 +21,8 @@
 /** Tests the program, with the heap of its deploy file, under clients that send much ahead of the answers. */
 class PipelinedClientsTest {
     private static final long AHEAD = System.currentTimeMillis() + 3_600_000;
-    private static final int CLIENTS = 60;
-    private static final int WRITES = 12;
     private static final String VALUE = "\\x" + "9f".repeat(64 * 1024);
-    private static final long WORK_NANOS = 2_000_000;
+    private static final long WORK_NANOS = 5_000_000;
 
     private PgHost primary;
     private Discovery discovery;
@@ -45,20 +43,20 @@
         primary.close();
     }
 
-    private static byte[] writes(int client) {
+    private static byte[] writes(int client, int count) {
         ByteArrayOutputStream commands = new ByteArrayOutputStream();
-        for (int i = 0; i < WRITES; i++) {
+        for (int i = 0; i < count; i++) {
             commands.writeBytes(Client.Pg.query("INSERT INTO entries (ref, payload) VALUES ('7f', '" + VALUE
                     + "') RETURNING payload /* id=w" + client + "-" + i + ",c=write,cluster=1,d=5000 */"));
         }
         return commands.toByteArray();
     }
 
-    private static List<String> sendAtOnce(Client.Pg client, int number) {
-        try (client) {
-            client.raw(writes(number));
+    private static List<String> sendAtOnce(int port, int number, int writes) {
+        try (Client.Pg client = new Client.Pg(port)) {
+            client.raw(writes(number, writes));
             List<String> answers = new ArrayList<>();
-            for (int i = 0; i < WRITES; i++) {
+            for (int i = 0; i < writes; i++) {
                 answers.add(client.answer());
             }
             return answers;
@@ -70,15 +68,25 @@
     /** Guards against a heap that many clients fill together, each within a limit of its own. */
     @Test
     void largeWritesOfManyClientsAreAllAnswered() throws Exception {
-        ExecutorService senders = Executors.newFixedThreadPool(CLIENTS);
+        sendFromAll(60, 12);
+    }
+
+    /** Guards against a heap that is filled by the messages that hundreds of clients have begun, and those in flight. */
+    @Test
+    void largeWritesOfHundredsOfClientsAreAllAnswered() throws Exception {
+        sendFromAll(300, 4);
+    }
+
+    private void sendFromAll(int clients, int writes) throws Exception {
+        int port = program.port(0);
+        ExecutorService senders = Executors.newFixedThreadPool(clients);
         List<CompletableFuture<List<String>>> all = new ArrayList<>();
-        for (int i = 0; i < CLIENTS; i++) {
+        for (int i = 0; i < clients; i++) {
             int number = i;
-            Client.Pg client = new Client.Pg(program.port(0));
-            all.add(CompletableFuture.supplyAsync(() -> sendAtOnce(client, number), senders));
+            all.add(CompletableFuture.supplyAsync(() -> sendAtOnce(port, number, writes), senders));
         }
         for (CompletableFuture<List<String>> answers : all) {
-            assertEquals(WRITES, answers.get().size(), answers.get().toString());
+            assertEquals(writes, answers.get().size(), answers.get().toString());
             for (String answer : answers.get()) {
                 assertTrue(answer.startsWith("served ") || answer.startsWith("refused "), answer);
             }
--- a/src/test/java/mintstair/serve/BothFrontsTest.java
+++ b/src/test/java/mintstair/serve/BothFrontsTest.java
@@ -18,9 +18,12 @@
 import mintstair.config.EndpointListReader;
 import mintstair.config.InstanceSettings;
 import mintstair.config.Json;
+import mintstair.front.ClientMemoryBudget;
+import mintstair.front.Front;
 import mintstair.front.mongo.MongoFront;
 import mintstair.front.pg.PgFront;
 import mintstair.program.Program;
+import mintstair.proxy.Dispatcher;
 import mintstair.proxy.EventLoop;
 import mintstair.request.EndpointList;
 import mintstair.standin.Client;
@@ -28,6 +31,7 @@
 import mintstair.standin.PgHost;
 import mintstair.standin.StandInHost;
 import mintstair.standin.StandInHost.HostBehavior;
+import mintstair.stats.Counters;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.junit.jupiter.api.Test;
 
@@ -36,6 +40,7 @@
  * equal.
  */
 class BothFrontsTest {
+    private static final long MAX_HELD_BYTES = 16L * 1024 * 1024;
     /** Replication positions are an hour from the present, so that decisions do not depend on the machine's speed. */
     private static final long NOW = 1_800_000_000_000L;
 
@@ -104,9 +109,7 @@
                     20261201,
                     settings,
                     100,
-                    (dispatcher, counters) -> isPg
-                            ? new PgFront(loop, dispatcher, transport, counters, 10)
-                            : new MongoFront(loop, dispatcher, transport, counters, 10));
+                    (dispatcher, counters) -> front(isPg, loop, dispatcher, transport, counters));
             service.start(null, list, false);
             int port = service.acceptClients(new InetSocketAddress("127.0.0.1", 0), null);
             List<String> answers = new ArrayList<>();
@@ -130,6 +133,14 @@
         }
     }
 
+    private static Front front(
+            boolean isPg, EventLoop loop, Dispatcher dispatcher, TCPNIOTransport transport, Counters counters) {
+        ClientMemoryBudget budget = new ClientMemoryBudget(MAX_HELD_BYTES, MAX_HELD_BYTES);
+        return isPg
+                ? new PgFront(loop, dispatcher, transport, counters, budget, 10)
+                : new MongoFront(loop, dispatcher, transport, counters, budget, 10);
+    }
+
     private static String counters(EventLoop loop, ProtocolService service) {
         CompletableFuture<String> line = new CompletableFuture<>();
         loop.execute(() -> line.complete(service.counters.toString()));
--- a/src/test/java/mintstair/serve/RememberedSessionsTest.java
+++ b/src/test/java/mintstair/serve/RememberedSessionsTest.java
@@ -10,6 +10,7 @@
 import mintstair.config.EndpointListReader;
 import mintstair.config.InstanceSettings;
 import mintstair.config.Json;
+import mintstair.front.ClientMemoryBudget;
 import mintstair.front.mongo.MongoFront;
 import mintstair.program.Program;
 import mintstair.proxy.EventLoop;
@@ -24,6 +25,7 @@
 
 /** Reads of sessions whose last write the proxy remembers, at MongoDB hosts that report as MongoDB documents it. */
 class RememberedSessionsTest {
+    private static final long MAX_HELD_BYTES = 16L * 1024 * 1024;
     private static final int READS = 20;
     private static final int CURSOR_NOT_FOUND = 43;
     /** The start of a past second, by the clock of hosts and proxy. */
@@ -55,7 +57,13 @@
                 1,
                 settings,
                 10,
-                (dispatcher, counters) -> new MongoFront(loop, dispatcher, transport, counters, 10));
+                (dispatcher, counters) -> new MongoFront(
+                        loop,
+                        dispatcher,
+                        transport,
+                        counters,
+                        new ClientMemoryBudget(MAX_HELD_BYTES, MAX_HELD_BYTES),
+                        10));
         service.start(null, endpoints(), false);
         client = new Client.Mongo(service.acceptClients(new InetSocketAddress("127.0.0.1", 0), null));
     }
--- a/src/test/java/mintstair/serve/ServiceFixture.java
+++ b/src/test/java/mintstair/serve/ServiceFixture.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import mintstair.backend.pg.PgProtocol;
 import mintstair.config.InstanceSettings;
+import mintstair.front.ClientMemoryBudget;
 import mintstair.front.pg.PgFront;
 import mintstair.program.Program;
 import mintstair.proxy.EventLoop;
@@ -26,6 +27,7 @@
 
 /** Runs a PostgreSQL service in the test's process; the event loop and the network thread can be suspended. */
 abstract class ServiceFixture {
+    private static final long MAX_HELD_BYTES = 16L * 1024 * 1024;
     private static final int MAX_CLIENTS = 600;
     private static final int SEED = 5;
 
@@ -96,7 +98,13 @@
                 SEED,
                 settings,
                 maxHostConnections,
-                (dispatcher, counters) -> new PgFront(loop, dispatcher, transport, counters, maxClients));
+                (dispatcher, counters) -> new PgFront(
+                        loop,
+                        dispatcher,
+                        transport,
+                        counters,
+                        new ClientMemoryBudget(MAX_HELD_BYTES, MAX_HELD_BYTES),
+                        maxClients));
     }
 
     /** Returns the port on which the service accepts clients. */
