End a process whose heap is full, in place of keeping one that serves nobody

Cause: EventLoop.run and GuardedTask catch every Throwable and go on; the end of a thread was nobody's concern.

Change: FatalErrors ends the process at once, with one line and status 3, where an error of the virtual machine other than a stack overflow reaches the loop, a periodic task or the end of a thread. The program's own end, not -XX:+ExitOnOutOfMemoryError, as it holds however the process was started. Errors that a library catches itself, as Ratis does, do not reach it.

Tests: FatalErrorsTest, three of four cases failed before ("the process has ended ==> expected: <true>"). Measured: FatalErrorsTest, EventLoopTest, LayeringTest, NonBlockingOutputTest pass.

--- a/src/main/java/mintstair/Main.java
+++ b/src/main/java/mintstair/Main.java
@@ -12,6 +12,7 @@
 import mintstair.config.OperatorConfig;
 import mintstair.config.RegistryConfig;
 import mintstair.control.MembersCommand;
+import mintstair.log.FatalErrors;
 import mintstair.log.NonBlockingOutput;
 import mintstair.registry.RegistryCommand;
 import mintstair.serve.ConfigurationCheck;
@@ -85,6 +86,7 @@
     /** Starts a proxy with the configuration file named in the options, or else in the environment. */
     private static void serve(List<String> options) throws IOException {
         NonBlockingOutput.install();
+        FatalErrors.install();
         ReloadSignal reloadSignal = new ReloadSignal();
         OperatorConfig operator = OperatorConfig.NONE;
         String file = System.getenv(CONFIG_VARIABLE);
--- a/src/main/java/mintstair/log/GuardedTask.java
+++ b/src/main/java/mintstair/log/GuardedTask.java
@@ -2,7 +2,7 @@
 
 /**
  * A task that prints everything it throws to standard error. An executor silently cancels a periodic task when one of
- * its runs throws; with this wrapper the schedule continues.
+ * its runs throws; with this wrapper the schedule continues, unless the failure is one of {@link FatalErrors}.
  */
 public final class GuardedTask implements Runnable {
     private final String part;
@@ -19,6 +19,7 @@
         try {
             task.run();
         } catch (Throwable failure) {
+            FatalErrors.exitIfFatal(failure);
             System.err.println(part + ": unexpected: " + failure);
             failure.printStackTrace();
         }
--- a/src/main/java/mintstair/proxy/EventLoop.java
+++ b/src/main/java/mintstair/proxy/EventLoop.java
@@ -5,13 +5,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
+import mintstair.log.FatalErrors;
 import mintstair.time.MonotonicClock;
 
 /**
  * The single thread that makes all routing decisions and owns all connection pools and client sessions. Its methods may
  * be called on any thread. The number of queued tasks is not limited.
  *
- * <p>A task that throws is counted and reported, and does not prevent other tasks from running. After {@link #close},
+ * <p>A task that throws is counted and reported, and does not prevent other tasks from running, unless it ends the
+ * process as {@link FatalErrors} describes. After {@link #close},
  * tasks are discarded.
  */
 public final class EventLoop implements AutoCloseable {
@@ -74,11 +76,12 @@
         return failedTasks.get();
     }
 
-    /** Runs a task; its failure is reported but does not stop the loop, on which all clients depend. */
+    /** Runs a task; its failure is reported but does not stop the loop, on which all clients depend, unless it is fatal. */
     private void run(Runnable task) {
         try {
             task.run();
         } catch (Throwable failure) {
+            FatalErrors.exitIfFatal(failure);
             failedTasks.incrementAndGet();
             report(failure);
         }
